--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,14 @@
+const common = {
+  import: ["packages/*/dist/**/*.steps.js"],
+  format: ["progress"],
+  strict: true,
+  publish: false,
+};
+
+export default {
+  ...common,
+  paths: ["packages/*/src/**/*.feature"],
+};
+
+/** Profile for single features given on the command line. */
+export const one = common;
--- /dev/null
+++ b/packages/core/src/process/index.ts
@@ -0,0 +1,2 @@
+/** Parts that live as long as one process. */
+export {};
--- /dev/null
+++ b/packages/core/src/types/index.ts
@@ -0,0 +1,9 @@
+/** Types shared by all parts of the system. */
+export * from "./bundles.ts";
+export * from "./effects.ts";
+export * from "./endpoints.ts";
+export * from "./findings.ts";
+export * from "./names.ts";
+export * from "./outcomes.ts";
+export * from "./platform.ts";
+export * from "./records.ts";
--- /dev/null
+++ b/packages/core/src/types/outcomes.ts
@@ -0,0 +1,45 @@
+/** What an answer says about a call. */
+
+/** Whether a call was run; sent to callers as the header `trefoildoor-outcome`. */
+export enum Outcome {
+  /** The call ran and its answer is complete. */
+  Done = "done",
+  /** The call did not run and will not run. */
+  NotRun = "not_run",
+  /** The call may have run. */
+  Unknown = "unknown",
+}
+
+/** Name of the response header that carries the outcome. */
+export const outcomeHeader = "trefoildoor-outcome";
+
+/** Why a call was refused. Each maps to one status in docs/HTTP.md. */
+export enum RefusalReason {
+  Malformed = "malformed",
+  TooLarge = "too_large",
+  Unauthorized = "unauthorized",
+  Forbidden = "forbidden",
+  UnknownModel = "unknown_model",
+  UnknownService = "unknown_service",
+  Overloaded = "overloaded",
+  DeadlineTooShort = "deadline_too_short",
+  Suspect = "suspect",
+  NoEndpoint = "no_endpoint",
+  Stopping = "stopping",
+  NoBundle = "no_bundle",
+  LogUnavailable = "log_unavailable",
+  KeyMissing = "key_missing",
+  KeyExpired = "key_expired",
+  KeyMismatch = "key_mismatch",
+  Undecided = "undecided",
+  EndpointFailed = "endpoint_failed",
+}
+
+/** A refusal with all that the caller is told. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  readonly outcome: Outcome;
+  readonly message: string;
+  /** When the caller may come back, in ms. */
+  readonly retryAfterMs?: number;
+}
--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,2 @@
+/** Public parts of this package. */
+export {};
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,8 @@
+/** Support for tests: snapshots, a paused clock, waiting for a condition. */
+export {
+  closeSnapshots,
+  expectSnapshot,
+  type SnapshotPlace,
+} from "./snapshots.ts";
+export { pauseClock, type PausedClock, pausedClockStartMs } from "./clock.ts";
+export { waitUntil } from "./wait.ts";
