Fix the folded control state and the planner's input as shared types

Cause: fold, orders, planner and command line need one view of the state. Change: types for the control state, followed streams and role decisions, and one folder with an index file for each part. Conclusion: parts meet at these types and share no other file.

--- /dev/null
+++ b/packages/core/src/connection/endpoint/index.ts
@@ -0,0 +1,2 @@
+/** HTTP adapters of engines and services. */
+export {};
--- a/packages/core/src/connection/index.ts
+++ b/packages/core/src/connection/index.ts
@@ -1,2 +1,3 @@
 /** Parts that live as long as one connection. */
-export {};
+export * from "./endpoint/index.ts";
+export * from "./peer/index.ts";
--- /dev/null
+++ b/packages/core/src/connection/peer/index.ts
@@ -0,0 +1,2 @@
+/** Exchange between instances. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/burn/index.ts
@@ -0,0 +1,2 @@
+/** Service-level counters and burn rates. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/calls/index.ts
@@ -0,0 +1,2 @@
+/** Agreement on calls that run at most once. */
+export {};
--- a/packages/core/src/process/index.ts
+++ b/packages/core/src/process/index.ts
@@ -1,2 +1,10 @@
 /** Parts that live as long as one process. */
-export {};
+export * from "./burn/index.ts";
+export * from "./calls/index.ts";
+export * from "./lease/index.ts";
+export * from "./log/index.ts";
+export * from "./membership/index.ts";
+export * from "./orders/index.ts";
+export * from "./planner/index.ts";
+export * from "./platform/index.ts";
+export * from "./rollout/index.ts";
--- /dev/null
+++ b/packages/core/src/process/lease/index.ts
@@ -0,0 +1,2 @@
+/** Leases of pools, decided by log order. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/log/index.ts
@@ -0,0 +1,2 @@
+/** Client of the platform's log: grouped appends, tailing, checkpoints. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/membership/index.ts
@@ -0,0 +1,2 @@
+/** Which endpoints and instances take work. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/orders/index.ts
@@ -0,0 +1,2 @@
+/** Orders to engines, with drains before and read-back after. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/planner/index.ts
@@ -0,0 +1,2 @@
+/** Role decisions of a pool. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/platform/index.ts
@@ -0,0 +1,2 @@
+/** HTTP adapters of the platform's services. */
+export {};
--- /dev/null
+++ b/packages/core/src/process/rollout/index.ts
@@ -0,0 +1,2 @@
+/** Rollout of a bundle's models over the failure domains. */
+export {};
--- /dev/null
+++ b/packages/core/src/request/admission/index.ts
@@ -0,0 +1,2 @@
+/** Admission of requests: shares, priorities, deadlines, memory. */
+export {};
--- /dev/null
+++ b/packages/core/src/request/completion/index.ts
@@ -0,0 +1,2 @@
+/** One completion from admission to its last token. */
+export {};
--- /dev/null
+++ b/packages/core/src/request/retries/index.ts
@@ -0,0 +1,2 @@
+/** Retry budgets and hedges. */
+export {};
--- /dev/null
+++ b/packages/core/src/request/routing/index.ts
@@ -0,0 +1,2 @@
+/** Choice of an engine for a request. */
+export {};
--- /dev/null
+++ b/packages/core/src/request/suspects/index.ts
@@ -0,0 +1,2 @@
+/** Requests that crash engines. */
+export {};
--- a/packages/core/src/types/index.ts
+++ b/packages/core/src/types/index.ts
@@ -1,5 +1,7 @@
 /** Types shared by all parts of the system. */
 export * from "./bundles.ts";
+export * from "./control.ts";
+export * from "./decisions.ts";
 export * from "./effects.ts";
 export * from "./endpoints.ts";
 export * from "./findings.ts";
--- /dev/null
+++ b/packages/core/src/version/bundle/index.ts
@@ -0,0 +1,2 @@
+/** Bundles: parsing, findings, sign-off, differences. */
+export {};
--- /dev/null
+++ b/packages/core/src/version/control/index.ts
@@ -0,0 +1,2 @@
+/** Fold of the control stream. */
+export {};
--- a/packages/core/src/version/index.ts
+++ b/packages/core/src/version/index.ts
@@ -1,2 +1,3 @@
 /** Parts that live as long as one version. */
-export {};
+export * from "./bundle/index.ts";
+export * from "./control/index.ts";
