Run one completion over as many attempts as it needs

Cause: nothing carried a request from admission to its last token. Conclusion: decisions and connections are functions passed in, so that the policy parts can be put in without a change here.

--- /dev/null
+++ b/packages/core/src/request/completion/attempt.ts
@@ -0,0 +1,137 @@
+/** One attempt of a completion at one engine, with resumption on the same engine. */
+import { randomUUID } from "node:crypto";
+import {
+  Effect,
+  type EngineClient,
+  type GenerateEvent,
+  type GenerateRequest,
+  RemoteError,
+  RemoteFailure,
+} from "../../types/index.ts";
+import { withProgressBound } from "./bounds.ts";
+import type {
+  AttemptWork,
+  CompletionCall,
+  CompletionParts,
+  CompletionRoute,
+} from "./types.ts";
+
+/** Times that a broken stream is taken up again at the same engine. */
+const maxResumes = 2;
+
+/** What an attempt starts from. */
+export interface AttemptStart {
+  readonly call: CompletionCall;
+  readonly route: CompletionRoute;
+  /** Tokens that earlier attempts delivered; grows with each delivered token. */
+  readonly delivered: string[];
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Runs one attempt and yields its new tokens and its finish. Rejects with
+ * `RemoteError` when the engine cannot go on; a token is never yielded twice.
+ */
+export async function* streamAttempt(
+  start: AttemptStart,
+  parts: CompletionParts,
+): AsyncGenerator<GenerateEvent> {
+  const engine = parts.getEngine(start.route.engine);
+  const work = parts.openWork(start.call, start.route);
+  const attemptId = randomUUID();
+  let finished = false;
+  try {
+    const request = await buildRequest(start, { parts, attemptId });
+    for (let resumes = 0; !finished; resumes++) {
+      try {
+        const source = resumes === 0
+          ? engine.generate(request, start.signal)
+          : engine.resume(
+            { attemptId, fromIndex: start.delivered.length },
+            start.signal,
+          );
+        yield* passEvents(source, { start, work });
+        finished = true;
+      } catch (error) {
+        if (!canResume(error, start) || resumes === maxResumes) throw error;
+      }
+    }
+  } finally {
+    work.close();
+    if (!finished) cancelAttempt(engine, attemptId);
+  }
+}
+
+async function buildRequest(
+  start: AttemptStart,
+  { parts, attemptId }: {
+    readonly parts: CompletionParts;
+    readonly attemptId: string;
+  },
+): Promise<GenerateRequest> {
+  const { call, route, delivered } = start;
+  const request: GenerateRequest = {
+    attemptId,
+    model: call.model,
+    adapter: call.adapter,
+    prompt: call.prompt,
+    resumeTokens: [...delivered],
+    maxTokens: call.maxTokens,
+    priority: call.priority,
+    seed: call.seed,
+  };
+  if (!route.prefillOn) return request;
+  try {
+    const prefill = parts.getEngine(route.prefillOn);
+    const kvHandle = await prefill.exportKv(request, start.signal);
+    return { ...request, kvHandle };
+  } catch (error) {
+    if (start.signal.aborted) throw error;
+    // The decoding engine can compute the prompt itself, at a cost in time only.
+    return request;
+  }
+}
+
+async function* passEvents(
+  source: AsyncIterable<GenerateEvent>,
+  { start, work }: { readonly start: AttemptStart; readonly work: AttemptWork },
+): AsyncGenerator<GenerateEvent> {
+  for await (const event of withProgressBound(source, work.getStallMs)) {
+    if (event.kind === "finish") {
+      yield event;
+      return;
+    }
+    // A resumed stream may begin before the last token that was delivered.
+    if (event.index < start.delivered.length) continue;
+    if (event.index > start.delivered.length) {
+      throw makeGapError(event.index, start.delivered.length);
+    }
+    if (start.delivered.length === 0) work.noteFirstToken();
+    work.noteToken();
+    start.delivered.push(event.text);
+    yield event;
+  }
+  throw makeLossError("Stream ended without a finish");
+}
+
+function canResume(error: unknown, start: AttemptStart): boolean {
+  if (start.signal.aborted || !(error instanceof RemoteError)) return false;
+  const lost = [RemoteFailure.Unreachable, RemoteFailure.Timeout];
+  return lost.includes(error.failure) && start.delivered.length > 0;
+}
+
+function makeGapError(index: number, expected: number): RemoteError {
+  return makeLossError(`Token ${index} came where ${expected} was due`);
+}
+
+function makeLossError(message: string): RemoteError {
+  return new RemoteError(message, {
+    failure: RemoteFailure.Unreachable,
+    effect: Effect.Unknown,
+  });
+}
+
+function cancelAttempt(engine: EngineClient, attemptId: string): void {
+  // An engine that cannot be reached ends the generation by itself.
+  engine.cancel(attemptId).catch(() => undefined);
+}
--- a/packages/core/src/types/outcomes.ts
+++ b/packages/core/src/types/outcomes.ts
@@ -33,6 +33,7 @@
   KeyMismatch = "key_mismatch",
   Undecided = "undecided",
   EndpointFailed = "endpoint_failed",
+  DeadlineExceeded = "deadline_exceeded",
 }
 
 /** A refusal with all that the caller is told. */
