Check YAML documents by a schema and report all findings with their places

Settings and bundles need the same reading: findings with line, column and path, hints for misspelt keys, and bounds on length, depth and aliases. parseDocument does this for any zod schema; syntax findings never quote the text, which may hold secrets.

--- /dev/null
+++ b/packages/core/src/shared/document_places.ts
@@ -0,0 +1,58 @@
+/** Places of values in a YAML document. */
+import {
+  type Document,
+  isCollection,
+  isMap,
+  isScalar,
+  type LineCounter,
+  type Node,
+} from "yaml";
+import type { SourcePlace } from "../types/index.ts";
+
+/** Line, column and path of a value. */
+export type DocumentPlace = Omit<SourcePlace, "source">;
+
+/**
+ * Finds the place of the value at a path: of its key where it has one, else of
+ * the value; of the nearest enclosing value where the path does not exist.
+ */
+export function findPlace(
+  document: Document,
+  lines: LineCounter,
+  options: { readonly path: readonly PropertyKey[] },
+): DocumentPlace {
+  const keys = options.path.map((key) =>
+    typeof key === "number" ? key : String(key)
+  );
+  const path = keys.length === 0 ? {} : { path: keys.join(".") };
+  const node = findNode(document, keys);
+  if (!node?.range) return path;
+  const { line, col } = lines.linePos(node.range[0]);
+  return { line, column: col, ...path };
+}
+
+function findNode(
+  document: Document,
+  keys: readonly (string | number)[],
+): Node | undefined {
+  let node = document.contents ?? undefined;
+  for (const [index, key] of keys.entries()) {
+    if (!isCollection(node)) return node;
+    if (isMap(node)) {
+      const pair = node.items.find((item) => getKey(item.key) === String(key));
+      if (!pair) return node;
+      const isLast = index === keys.length - 1;
+      if (isLast || !pair.value) return pair.key as Node;
+      node = pair.value as Node;
+      continue;
+    }
+    const item = node.get(key, true) as Node | undefined;
+    if (!item) return node;
+    node = item;
+  }
+  return node;
+}
+
+function getKey(key: unknown): string {
+  return String(isScalar(key) ? key.value : key);
+}
--- a/packages/core/src/shared/index.ts
+++ b/packages/core/src/shared/index.ts
@@ -1,4 +1,6 @@
 /** Helpers without state, used by all parts. */
 export * from "./digests.ts";
+export * from "./documents.ts";
 export * from "./events.ts";
+export * from "./similar_names.ts";
 export * from "./sleep.ts";
