Let groups of records expire by log order

A writer cannot tell a lost append from a late one, so no lost append could ever be settled as absent. A group now names the first offset at which no reader counts it; ids of that many newest groups find every repeat.

--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -240,10 +240,22 @@
 /** The record of one kind. */
 export type RecordOf<K extends RecordKind> = Extract<LogRecord, { kind: K }>;
 
+/**
+ * Most entries of a stream between the newest one that a writer had read and
+ * its group. A later group counts for no reader, so that a lost append can be
+ * settled, and repeats of an id are found among this many newest groups.
+ */
+export const maxGroupLagEntries = 2048;
+
 /** Schema of one appended group; readers ignore a repeated `id`. */
 export const recordGroupSchema = z.strictObject({
   id: z.uuid(),
   writer: text,
+  /**
+   * First offset at which the group no longer counts: the writer's next offset
+   * to read plus `maxGroupLagEntries`, at most.
+   */
+  expires: z.int().min(1),
   records: z.array(logRecordSchema).min(1).max(maxGroupRecords),
 });
 
