List the verbs of function names one on a line

Cause: a padded table made every added verb a conflict between branches. Change: docs/VERBS.md is a sorted list, and the checker reads its lines. Conclusion: two branches can add verbs without touching the same line.

--- a/tools/check_source.ts
+++ b/tools/check_source.ts
@@ -32,13 +32,10 @@
 }
 
 function readVerbs(path: string): ReadonlySet<string> {
-  const rows = readFileSync(path, "utf8").split("\n").filter((line) =>
-    line.startsWith("| `")
+  const lines = readFileSync(path, "utf8").split("\n");
+  return new Set(
+    lines.flatMap((line) => /^- `([a-z]+)`$/.exec(line)?.[1] ?? []),
   );
-  const words = rows.flatMap((
-    row,
-  ) => [...(row.split("|")[1] ?? "").matchAll(/`([a-z]+)`/g)]);
-  return new Set(words.map((match) => match[1] ?? ""));
 }
 
 function listSources(root: string): readonly string[] {
