Follow a stream of the log, append in groups and settle by reading

One task reads to the end and folds; appends are settled by what the reader sees, retried under one group id and given up as absent only once no reader can count them. Checkpoints start a node behind the retention edge.

--- /dev/null
+++ b/packages/core/src/process/log/events.ts
@@ -0,0 +1,51 @@
+/** Events of the log client, 200 to 219. */
+import { type EventType, Severity } from "../../shared/index.ts";
+
+/** Numbered events of the log client. */
+export const logEvents = {
+  entrySkipped: {
+    number: 200,
+    severity: Severity.Error,
+    message: "skipped a malformed log entry",
+  },
+  readFailed: {
+    number: 201,
+    severity: Severity.Warning,
+    message: "reading the log failed",
+  },
+  readRecovered: {
+    number: 202,
+    severity: Severity.Info,
+    message: "the log can be read again",
+  },
+  appendRetried: {
+    number: 203,
+    severity: Severity.Warning,
+    message: "an append to the log got no answer and is sent again",
+  },
+  checkpointTaken: {
+    number: 204,
+    severity: Severity.Info,
+    message: "state was taken from a checkpoint of the log",
+  },
+  checkpointMissing: {
+    number: 205,
+    severity: Severity.Error,
+    message: "the log keeps neither all entries nor a usable checkpoint",
+  },
+  peerStateTaken: {
+    number: 206,
+    severity: Severity.Info,
+    message: "newer state was taken from a peer",
+  },
+  logShrunk: {
+    number: 207,
+    severity: Severity.Error,
+    message: "the log ends before entries that were already read",
+  },
+  groupLate: {
+    number: 208,
+    severity: Severity.Warning,
+    message: "a group reached the log too late to count",
+  },
+} satisfies Record<string, EventType>;
--- a/packages/core/src/process/log/index.ts
+++ b/packages/core/src/process/log/index.ts
@@ -1,2 +1,20 @@
 /** Client of the platform's log: grouped appends, tailing, checkpoints. */
-export {};
+export { type BuildCheckpoint, type ReadCheckpoint } from "./checkpoints.ts";
+export { logEvents } from "./events.ts";
+export {
+  followStream,
+  type FollowStreamOptions,
+  type StreamFollower,
+} from "./follow_stream.ts";
+export {
+  buildGroup,
+  checkEntry,
+  encodeGroup,
+  EntryVerdict,
+  foldEntry,
+  getOffset,
+  getPosition,
+  type JudgedEntry,
+  listRecords,
+  type StreamState,
+} from "./groups.ts";
