Fold the control stream by named rules

Bundles, instances, leases, drains, orders and halts follow from log order alone. An order needs the current epoch, a registered holder, the bundle in force, a drain and no other open order; engines that ignore numbers wait for the sender's result, the engine's own state or proof that the sender is gone.

--- a/packages/core/src/process/log/appender.ts
+++ b/packages/core/src/process/log/appender.ts
@@ -226,7 +226,7 @@
   function settleJump(state: StreamState): void {
     const offset = getOffset(state.next);
     for (const group of [...pending.values()]) {
-      const isCounted = state.groups.includes(group.id);
+      const isCounted = state.groups?.includes(group.id);
       if (isCounted && group.offset !== undefined) {
         answerGroup(group, group.offset);
       } else if (isCounted || offset >= group.expires) {
--- a/packages/core/src/process/log/groups.ts
+++ b/packages/core/src/process/log/groups.ts
@@ -17,8 +17,8 @@
 export interface StreamState {
   /** First position that the state does not cover. */
   readonly next: LogPosition;
-  /** Ids of the newest counted groups, oldest first. */
-  readonly groups: readonly string[];
+  /** Ids of the newest counted groups, oldest first; kept by the follower. */
+  readonly groups?: readonly string[];
 }
 
 /** How readers judge one log entry. */
@@ -61,7 +61,7 @@
   if (offset >= group.expires) {
     return { verdict: EntryVerdict.Late, offset, timeMs, group };
   }
-  const isRepeated = state.groups.includes(group.id);
+  const isRepeated = state.groups?.includes(group.id);
   const verdict = isRepeated ? EntryVerdict.Repeated : EntryVerdict.Counted;
   return { verdict, offset, timeMs, group };
 }
@@ -78,7 +78,9 @@
     return { ...state, next };
   }
   const folded = listRecords(entry).reduce(options.fold, state);
-  const groups = [...state.groups, entry.group.id].slice(-maxGroupLagEntries);
+  const groups = [...(state.groups ?? []), entry.group.id].slice(
+    -maxGroupLagEntries,
+  );
   return { ...folded, next, groups };
 }
 
--- a/packages/core/src/version/control/index.ts
+++ b/packages/core/src/version/control/index.ts
@@ -1,2 +1,27 @@
 /** Fold of the control stream. */
-export {};
+export {
+  buildControlCheckpoint,
+  parseControlState,
+  readControlCheckpoint,
+} from "./control_schema.ts";
+export {
+  emptyControlState,
+  foldControl,
+  type FoldControlOptions,
+} from "./fold_control.ts";
+export {
+  canClaimLease,
+  canCloseOrder,
+  canConfirmDrain,
+  canOpenOrder,
+  findBundleRejection,
+  findOpenOrder,
+  findPoolOfEngine,
+  getVersionInForce,
+  isDraining,
+  isEpochCurrent,
+  isRegistered,
+  isSendersResult,
+  type Placed,
+  type VerifySignature,
+} from "./rules.ts";
--- /dev/null
+++ b/packages/core/src/version/control/own_entries.ts
@@ -0,0 +1,48 @@
+/** Plain objects as immutable maps. Names such as `__proto__` are entries like others. */
+
+/** A plain object used as a map. */
+export type Entries<T> = Readonly<Record<string, T>>;
+
+/** Value of an entry; inherited properties are none. */
+export function getOwn<T>(entries: Entries<T>, name: string): T | undefined {
+  return Object.hasOwn(entries, name) ? entries[name] : undefined;
+}
+
+/** Copy with one entry set; entries are in the order of their names. */
+export function setOwn<T>(
+  entries: Entries<T>,
+  name: string,
+  options: { readonly value: T },
+): Entries<T> {
+  const others = Object.entries(entries).filter(([key]) => key !== name);
+  const all: [string, T][] = [...others, [name, options.value]];
+  all.sort(([left], [right]) => left < right ? -1 : 1);
+  return Object.fromEntries(all);
+}
+
+/** Copy without one entry. */
+export function removeOwn<T>(entries: Entries<T>, name: string): Entries<T> {
+  const others = Object.entries(entries).filter(([key]) => key !== name);
+  return Object.fromEntries(others);
+}
+
+/** Copy with every value changed. */
+export function mapOwn<T>(
+  entries: Entries<T>,
+  change: (value: T) => T,
+): Entries<T> {
+  const changed = Object.entries(entries).map(([name, value]): [string, T] => [
+    name,
+    change(value),
+  ]);
+  return Object.fromEntries(changed);
+}
+
+/** Copy with the entries whose values pass. */
+export function pickOwn<T>(
+  entries: Entries<T>,
+  keeps: (value: T) => boolean,
+): Entries<T> {
+  const kept = Object.entries(entries).filter(([, value]) => keeps(value));
+  return Object.fromEntries(kept);
+}
