--- a/packages/core/src/version/bundle/index.ts
+++ b/packages/core/src/version/bundle/index.ts
@@ -1,2 +1,7 @@
 /** Bundles: parsing, findings, sign-off, differences. */
-export {};
+export * from "./check_bundle.ts";
+export * from "./diff_bundles.ts";
+export * from "./example_bundle.ts";
+export * from "./format_bundle.ts";
+export * from "./merge_bundles.ts";
+export * from "./sign_bundle.ts";
--- /dev/null
+++ b/packages/core/src/version/bundle/sign_bundle.ts
@@ -0,0 +1,105 @@
+/**
+ * Sign-off of bundles: Ed25519 over the canonical JSON (RFC 8785) of the
+ * bundle. Keys are one line of base64 each, so that they fit settings and
+ * environment variables: PKCS #8 DER for private, SPKI DER for public ones.
+ */
+import {
+  createPrivateKey,
+  createPublicKey,
+  generateKeyPairSync,
+  type KeyObject,
+  sign,
+  verify,
+} from "node:crypto";
+import { canonicalize } from "json-canonicalize";
+import type { Bundle, SignedBundle } from "../../types/index.ts";
+
+/** A pair of signing keys in base64. */
+export interface SigningKey {
+  readonly privateKey: string;
+  readonly publicKey: string;
+}
+
+/** Options of `signBundle`. */
+export interface SignBundleOptions {
+  /** Name under which settings list the public key. */
+  readonly keyName: string;
+  /** Private key as `createSigningKey` returns it. */
+  readonly privateKey: string;
+}
+
+/** Creates a key pair for signing bundles. */
+export function createSigningKey(): SigningKey {
+  const pair = generateKeyPairSync("ed25519");
+  const privateKey = pair.privateKey.export({ type: "pkcs8", format: "der" });
+  const publicKey = pair.publicKey.export({ type: "spki", format: "der" });
+  return {
+    privateKey: privateKey.toString("base64"),
+    publicKey: publicKey.toString("base64"),
+  };
+}
+
+/** Signs a bundle; throws when the private key is no Ed25519 key. */
+export function signBundle(
+  bundle: Bundle,
+  options: SignBundleOptions,
+): SignedBundle {
+  const key = readPrivateKey(options.privateKey);
+  const signature = sign(null, encodeBundle(bundle), key).toString("base64");
+  return { bundle, key: options.keyName, signature };
+}
+
+/**
+ * Says whether a trusted key signed the bundle. `keys` holds public keys by
+ * name. A key that cannot be read verifies nothing.
+ */
+export function verifyBundle(
+  signed: SignedBundle,
+  keys: ReadonlyMap<string, string>,
+): boolean {
+  const text = keys.get(signed.key);
+  if (text === undefined) return false;
+  try {
+    const key = readPublicKey(text);
+    const signature = Buffer.from(signed.signature, "base64");
+    return verify(null, encodeBundle(signed.bundle), key, signature);
+  } catch {
+    return false;
+  }
+}
+
+/** Derives the public key, in base64, from a private one. */
+export function getPublicKey(privateKey: string): string {
+  const key = createPublicKey(readPrivateKey(privateKey));
+  return key.export({ type: "spki", format: "der" }).toString("base64");
+}
+
+function encodeBundle(bundle: Bundle): Buffer {
+  return Buffer.from(canonicalize(bundle), "utf8");
+}
+
+function readPrivateKey(text: string): KeyObject {
+  const der = Buffer.from(text.trim(), "base64");
+  return expectEd25519(() =>
+    createPrivateKey({ key: der, type: "pkcs8", format: "der" })
+  );
+}
+
+function readPublicKey(text: string): KeyObject {
+  const der = Buffer.from(text.trim(), "base64");
+  return expectEd25519(() =>
+    createPublicKey({ key: der, type: "spki", format: "der" })
+  );
+}
+
+/** Hides the reader's own error, which may quote parts of the key. */
+function expectEd25519(read: () => KeyObject): KeyObject {
+  let key: KeyObject | undefined;
+  try {
+    key = read();
+  } catch {
+    key = undefined;
+  }
+  if (key?.asymmetricKeyType === "ed25519") return key;
+  throw new TypeError("key is not an Ed25519 key in base64 DER");
+}
