--- /dev/null
+++ b/packages/node/src/connection/gateway.ts
@@ -0,0 +1,173 @@
+/** The HTTP gateway for callers: a moleculer broker without transporter and its web service. */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { RefusalReason } from "@trefoildoor/core";
+import { type Service, ServiceBroker, type ServiceSchema } from "moleculer";
+import ApiService from "moleculer-web";
+import type { Settings } from "../settings/index.ts";
+import { type Environment, readSecret } from "../settings/index.ts";
+import { refuseNotRun } from "../request/refusals.ts";
+import { sendRefusal } from "./responses.ts";
+
+/** A caller's request after its body was read. */
+export interface GatewayRequest extends IncomingMessage {
+  /** Parsed JSON, or the text of other bodies. */
+  readonly body?: unknown;
+  /** Parameters of the path. */
+  readonly $params?: Readonly<Record<string, string>>;
+}
+
+/** Answers one request; its rejection is a fault of the program. */
+export type GatewayHandler = (
+  request: GatewayRequest,
+  response: ServerResponse,
+) => Promise<void> | void;
+
+/** How the body of a route's requests is read. */
+export enum BodyKind {
+  Json = "json",
+  Text = "text",
+}
+
+/** The handlers of one domain. */
+export interface GatewayApp {
+  /** Path prefix, for instance `/v1`. */
+  readonly path: string;
+  readonly body: BodyKind;
+  /** Handlers by method and path, for instance `POST /completions`. */
+  readonly handlers: Readonly<Record<string, GatewayHandler>>;
+}
+
+/** A gateway that listens. */
+export interface Gateway {
+  /** Address as `host:port`. */
+  readonly address: string;
+  /** Ends listening; resolves once every connection is closed. */
+  readonly close: () => Promise<void>;
+}
+
+/** What a gateway needs besides its settings. */
+export interface GatewayOptions {
+  readonly apps: readonly GatewayApp[];
+  readonly environment: Environment;
+  /** Called with the error of a handler that rejected. */
+  readonly onFailure: (error: unknown) => void;
+}
+
+/** Starts listening for callers. */
+export async function openGateway(
+  settings: Settings["callers"],
+  options: GatewayOptions,
+): Promise<Gateway> {
+  const broker = new ServiceBroker({
+    logger: false,
+    // Calls between instances do not pass the broker, so it needs no transporter.
+    transporter: undefined,
+    tracing: false,
+    metrics: false,
+    skipProcessEventRegistration: true,
+  });
+  const service = broker.createService(buildWebSchema(settings, options));
+  const server = (service as Service & { readonly server: Server }).server;
+  server.maxConnections = settings.max_connections;
+  server.headersTimeout = settings.read_timeout_ms;
+  server.requestTimeout = settings.read_timeout_ms;
+  await broker.start();
+  return {
+    address: describeAddress(server),
+    async close(): Promise<void> {
+      server.closeIdleConnections();
+      await broker.stop();
+    },
+  };
+}
+
+function buildWebSchema(
+  settings: Settings["callers"],
+  options: GatewayOptions,
+): ServiceSchema {
+  const { tls } = settings;
+  return {
+    name: "gateway",
+    mixins: [ApiService as ServiceSchema],
+    settings: {
+      ip: settings.host,
+      port: settings.port,
+      path: "",
+      https: tls && {
+        cert: readSecret(tls.certificate, options.environment),
+        key: readSecret(tls.private_key, options.environment),
+      },
+      routes: options.apps.map((app) => buildRoute(app, settings, options)),
+      onError: (
+        _request: IncomingMessage,
+        response: ServerResponse,
+        error: unknown,
+      ): void => answerError(response, error, options),
+    },
+  };
+}
+
+function buildRoute(
+  app: GatewayApp,
+  settings: Settings["callers"],
+  options: GatewayOptions,
+): object {
+  const limit = settings.max_body_bytes;
+  return {
+    path: app.path,
+    mappingPolicy: "restrict",
+    mergeParams: true,
+    bodyParsers: app.body === BodyKind.Json
+      ? { json: { limit, strict: true, type: () => true } }
+      : { text: { limit, type: () => true } },
+    aliases: app.handlers,
+    onError: (
+      _request: IncomingMessage,
+      response: ServerResponse,
+      error: unknown,
+    ): void => answerError(response, error, options),
+  };
+}
+
+/** Answers a request that no handler took or whose body could not be read. */
+function answerError(
+  response: ServerResponse,
+  error: unknown,
+  options: GatewayOptions,
+): void {
+  const { code, status, type } = error as {
+    code?: unknown;
+    status?: unknown;
+    type?: unknown;
+  };
+  if (type === "entity.too.large" || status === 413) {
+    return sendRefusal(
+      response,
+      refuseNotRun(RefusalReason.TooLarge, "Request body is too large"),
+    );
+  }
+  if (code === 404 || type === "NOT_FOUND") {
+    return sendRefusal(
+      response,
+      refuseNotRun(RefusalReason.UnknownService, "Path does not exist"),
+    );
+  }
+  if (typeof status === "number" && status < 500) {
+    return sendRefusal(
+      response,
+      refuseNotRun(RefusalReason.Malformed, "Request body cannot be read"),
+    );
+  }
+  options.onFailure(error);
+  if (!response.headersSent) {
+    // Nothing is known of how far the handler came.
+    response.writeHead(500, { "trefoildoor-outcome": "unknown" });
+  }
+  response.end();
+}
+
+function describeAddress(server: Server): string {
+  const address = server.address();
+  if (address === null || typeof address === "string") return "";
+  return `${address.address}:${address.port}`;
+}
--- /dev/null
+++ b/packages/node/src/request/completion_body.ts
@@ -0,0 +1,115 @@
+/** Bodies of completion requests and answers in the shapes of the OpenAI interface. */
+import { randomUUID } from "node:crypto";
+import {
+  type BundleCaller,
+  type CompletionCall,
+  digestText,
+  RefusalReason,
+} from "@trefoildoor/core";
+import type { Refusal } from "@trefoildoor/core";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { refuseNotRun } from "./refusals.ts";
+
+const defaultMaxTokens = 256;
+const maxMaxTokens = 131_072;
+const maxPromptCharacters = 4 * 1_048_576;
+const maxMessages = 4_096;
+
+const commonFields = {
+  /** Model name, with an adapter after a colon where one is wanted. */
+  model: z.string().min(1).max(128),
+  max_tokens: z.int().min(1).max(maxMaxTokens).default(defaultMaxTokens),
+  stream: z.boolean().default(false),
+  seed: z.int().optional(),
+};
+
+const textSchema = z.looseObject({
+  ...commonFields,
+  prompt: z.string().min(1).max(maxPromptCharacters),
+});
+
+const chatSchema = z.looseObject({
+  ...commonFields,
+  messages: z.array(z.looseObject({
+    role: z.string().max(32),
+    content: z.string().max(maxPromptCharacters),
+  })).min(1).max(maxMessages),
+}).transform((body) => ({ ...body, prompt: formatMessages(body.messages) }));
+
+/** Which of the two completion interfaces a request uses. */
+export enum CompletionKind {
+  Text = "text",
+  Chat = "chat",
+}
+
+/** A completion request after its body was checked. */
+export interface CompletionBody {
+  readonly model: string;
+  readonly adapter?: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  readonly seed?: number;
+}
+
+/** Checks the body of a completion request. */
+export function parseCompletionBody(
+  body: unknown,
+  kind: CompletionKind,
+): Either<Refusal, CompletionBody> {
+  const schema = kind === CompletionKind.Text ? textSchema : chatSchema;
+  const parsed = schema.safeParse(body);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) =>
+      `${issue.path.join(".") || "body"}: ${issue.message}`
+    );
+    return Left(
+      refuseNotRun(RefusalReason.Malformed, faults.slice(0, 10).join("; ")),
+    );
+  }
+  const { data } = parsed;
+  const [model = "", adapter] = data.model.split(":", 2);
+  return Right({
+    model,
+    adapter,
+    prompt: data.prompt,
+    maxTokens: data.max_tokens,
+    stream: data.stream,
+    seed: data.seed,
+  });
+}
+
+/** Prompt of a chat, one line for each message. */
+function formatMessages(
+  messages: readonly { readonly role: string; readonly content: string }[],
+): string {
+  return messages.map((message) => `${message.role}: ${message.content}`).join(
+    "\n",
+  );
+}
+
+/** Builds the call that a checked body asks for. */
+export function buildCompletionCall(
+  body: CompletionBody,
+  caller: BundleCaller,
+): CompletionCall {
+  return {
+    requestId: randomUUID(),
+    caller,
+    model: body.model,
+    adapter: body.adapter,
+    prompt: body.prompt,
+    promptTokens: countTokens(body.prompt),
+    maxTokens: body.maxTokens,
+    priority: caller.priority,
+    deadlineMs: caller.deadline_ms,
+    digest: digestText(JSON.stringify([body.model, body.adapter, body.prompt])),
+    seed: body.seed,
+  };
+}
+
+/** Estimates a text's length in tokens by its words. */
+export function countTokens(text: string): number {
+  return text.split(/\s+/).filter((word) => word.length > 0).length;
+}
