--- a/packages/node/src/connection/responses.ts
+++ b/packages/node/src/connection/responses.ts
@@ -58,7 +58,7 @@
   });
   return {
     send: (data) =>
-      writeBounded(response, `data: ${JSON.stringify(data)}\n\n`, options),
+      sendBounded(response, `data: ${JSON.stringify(data)}\n\n`, options),
     close(outcome): void {
       response.addTrailers({ [outcomeHeader]: outcome });
       response.end(outcome === Outcome.Done ? "data: [DONE]\n\n" : undefined);
@@ -66,7 +66,7 @@
   };
 }
 
-async function writeBounded(
+async function sendBounded(
   response: ServerResponse,
   text: string,
   options: { readonly writeTimeoutMs: number; readonly onStall: () => void },
--- a/packages/node/src/request/completion_body.ts
+++ b/packages/node/src/request/completion_body.ts
@@ -16,21 +16,19 @@
 const maxPromptCharacters = 4 * 1_048_576;
 const maxMessages = 4_096;
 
-const commonFields = {
+const commonSchema = z.looseObject({
   /** Model name, with an adapter after a colon where one is wanted. */
   model: z.string().min(1).max(128),
   max_tokens: z.int().min(1).max(maxMaxTokens).default(defaultMaxTokens),
   stream: z.boolean().default(false),
   seed: z.int().optional(),
-};
+});
 
-const textSchema = z.looseObject({
-  ...commonFields,
+const textSchema = commonSchema.extend({
   prompt: z.string().min(1).max(maxPromptCharacters),
 });
 
-const chatSchema = z.looseObject({
-  ...commonFields,
+const chatSchema = commonSchema.extend({
   messages: z.array(z.looseObject({
     role: z.string().max(32),
     content: z.string().max(maxPromptCharacters),
--- a/packages/node/src/request/completions_app.ts
+++ b/packages/node/src/request/completions_app.ts
@@ -84,7 +84,7 @@
   options: { readonly kind: CompletionKind },
 ): Promise<void> {
   const { request, response } = exchange;
-  const prepared = prepareCall(request, parts, options);
+  const prepared = parseCall(request, parts, options);
   if (prepared.isLeft()) {
     return sendRefusal(response, prepared.extract() as Refusal);
   }
@@ -100,14 +100,14 @@
   if (first.value.kind === "refused") {
     return sendRefusal(response, first.value.refusal);
   }
-  const all = joinFirst(first.value, events);
+  const all = streamFrom(first.value, events);
   if (ready.streamed) {
     return await answerStream(response, ready, { events: all, parts });
   }
   return await answerWhole(response, ready, { events: all });
 }
 
-function prepareCall(
+function parseCall(
   request: GatewayRequest,
   parts: CompletionsParts,
   options: { readonly kind: CompletionKind },
@@ -156,7 +156,7 @@
   return Right(body);
 }
 
-async function* joinFirst(
+async function* streamFrom(
   first: CompletionEvent,
   rest: AsyncGenerator<CompletionEvent>,
 ): AsyncGenerator<CompletionEvent> {
