Add routing, admission, retry budgets, suspects and the role planner

Cause: the daemon needs the decisions of a request and of a pool as functions. Change: an endpoint table with lag-aware estimates, a route choice with prefix affinity and prefill/decode splits, a fair deadline-aware admission, repeat budgets, mergeable crash evidence and a planner that weighs gain against loss.

--- a/packages/core/src/process/planner/index.ts
+++ b/packages/core/src/process/planner/index.ts
@@ -1,2 +1,10 @@
 /** Role decisions of a pool. */
-export {};
+export {
+  computeLoadFactor,
+  computeServed,
+  type Fleet,
+  type Mix,
+  type RoleCounts,
+  type RoleSpeeds,
+} from "./capacity.ts";
+export { createPlanner, type PlannerOptions } from "./planner.ts";
--- /dev/null
+++ b/packages/core/src/process/planner/planner.ts
@@ -0,0 +1,174 @@
+/**
+ * Role decisions of one pool. A change is worth making when the answers that
+ * it gains over a horizon exceed those lost while the engine is away plus the
+ * bundle's weight of a change, under the short and the long forecast alike.
+ */
+import {
+  type DemandSample,
+  EngineRole,
+  type PlannerEngine,
+  type PlannerInput,
+  type PlanRoles,
+  type RoleChange,
+} from "../../types/index.ts";
+import {
+  computeServed,
+  type Mix,
+  type RoleCounts,
+  type RoleSpeeds,
+} from "./capacity.ts";
+import { createSpeedEstimator } from "./speeds.ts";
+
+/** Options of the planner. */
+export interface PlannerOptions {
+  /** Time over which a change has to pay, in ms. */
+  readonly horizonMs?: number;
+  /** Time that an engine is away for a change, drain included, in ms. */
+  readonly changeTimeMs?: number;
+}
+
+interface Plan {
+  readonly counts: RoleCounts;
+  readonly from: EngineRole;
+  readonly to: EngineRole;
+  readonly moves: number;
+}
+
+const defaultHorizonMs = 60_000;
+const defaultChangeTimeMs = 15_000;
+const shortWindowMs = 10_000;
+const longWindowMs = 25_000;
+const restMs = 10_000;
+const maxMoves = 2;
+const msPerSecond = 1_000;
+
+/** Creates the planner of one pool. */
+export function createPlanner(options: PlannerOptions = {}): PlanRoles {
+  const horizonMs = options.horizonMs ?? defaultHorizonMs;
+  const changeTimeMs = options.changeTimeMs ?? defaultChangeTimeMs;
+  const estimator = createSpeedEstimator();
+
+  return (input: PlannerInput): RoleChange | undefined => {
+    estimator.observe(input.engines);
+    if (!mayChange(input)) return undefined;
+    const mixes = [shortWindowMs, longWindowMs].map((windowMs) =>
+      computeMix(input, windowMs)
+    );
+    const counts = countRoles(input.engines);
+    const speeds = estimator.getSpeeds();
+    let best: RoleChange | undefined;
+    for (const plan of listPlans(counts, input)) {
+      const gains = mixes.map((mix) =>
+        mix ? computeGain(mix, { counts, plan, speeds }) : -Infinity
+      );
+      const gain = Math.min(...gains) / plan.moves;
+      if (gain <= input.pool.role_change_weight) continue;
+      if (best && gain <= best.gain) continue;
+      const engine = pickEngine(input, plan.from);
+      if (engine) best = { engine: engine.name, role: plan.to, gain };
+    }
+    return best;
+  };
+
+  function computeGain(
+    mix: Mix,
+    state: {
+      readonly counts: RoleCounts;
+      readonly plan: Plan;
+      readonly speeds: RoleSpeeds;
+    },
+  ): number {
+    const { counts, plan, speeds } = state;
+    const now = computeServed(mix, { counts, speeds });
+    const without = addRole(counts, [plan.from, -1]);
+    const during = computeServed(mix, { counts: without, speeds });
+    const after = computeServed(mix, { counts: plan.counts, speeds });
+    const awayMs = changeTimeMs * plan.moves;
+    const lost = (now - during) * awayMs;
+    return ((after - now) * (horizonMs - awayMs) - lost) / msPerSecond;
+  }
+}
+
+/** One change at a time, and none while an engine is away or unknown. */
+function mayChange(input: PlannerInput): boolean {
+  if (input.engines.some((engine) => !engine.ready)) return false;
+  if (input.lastChangeMs === undefined) return true;
+  return input.nowMs - input.lastChangeMs >= restMs;
+}
+
+function computeMix(input: PlannerInput, windowMs: number): Mix | undefined {
+  const samples = input.demand.filter((sample) =>
+    sample.toMs > input.nowMs - windowMs
+  );
+  const spanMs = sumOf(samples, (sample) => sample.toMs - sample.fromMs);
+  if (spanMs < windowMs / 2) return undefined;
+  const seconds = spanMs / msPerSecond;
+  return {
+    requests: sumOf(samples, (sample) => sample.requests) / seconds,
+    promptTokens: sumOf(samples, (sample) => sample.promptTokens) / seconds,
+    outputTokens: sumOf(samples, (sample) => sample.outputTokens) / seconds,
+  };
+}
+
+function sumOf(
+  samples: readonly DemandSample[],
+  get: (sample: DemandSample) => number,
+): number {
+  return samples.reduce((sum, sample) => sum + get(sample), 0);
+}
+
+function countRoles(engines: readonly PlannerEngine[]): RoleCounts {
+  const counts = {
+    [EngineRole.Prefill]: 0,
+    [EngineRole.Decode]: 0,
+    [EngineRole.Mixed]: 0,
+  };
+  for (const engine of engines) counts[engine.role] += 1;
+  return counts;
+}
+
+function addRole(
+  counts: RoleCounts,
+  [role, change]: readonly [EngineRole, number],
+): RoleCounts {
+  return { ...counts, [role]: counts[role] + change };
+}
+
+/** All sets of roles within a few moves that keep the floors. */
+function listPlans(
+  counts: RoleCounts,
+  input: PlannerInput,
+): readonly Plan[] {
+  const plans: Plan[] = [];
+  for (const from of Object.values(EngineRole)) {
+    for (const to of Object.values(EngineRole)) {
+      if (from === to) continue;
+      for (let moves = 1; moves <= maxMoves; moves++) {
+        if (counts[from] < moves) continue;
+        const moved = addRole(addRole(counts, [from, -moves]), [to, moves]);
+        if (!hasFloors(moved, input)) continue;
+        if (!hasFloors(addRole(counts, [from, -1]), input)) continue;
+        plans.push({ counts: moved, from, to, moves });
+      }
+    }
+  }
+  return plans;
+}
+
+function hasFloors(counts: RoleCounts, input: PlannerInput): boolean {
+  const mixed = counts[EngineRole.Mixed];
+  return counts[EngineRole.Prefill] + mixed >= input.pool.prefill_floor &&
+    counts[EngineRole.Decode] + mixed >= input.pool.decode_floor;
+}
+
+/** The engine of the role with least to drain. */
+function pickEngine(
+  input: PlannerInput,
+  role: EngineRole,
+): PlannerEngine | undefined {
+  const engines = input.engines.filter((engine) => engine.role === role);
+  return engines.toSorted((left, right) =>
+    (left.report?.running ?? 0) - (right.report?.running ?? 0) ||
+    (left.name < right.name ? -1 : 1)
+  )[0];
+}
--- a/packages/core/src/request/admission/index.ts
+++ b/packages/core/src/request/admission/index.ts
@@ -1,2 +1,16 @@
 /** Admission of requests: shares, priorities, deadlines, memory. */
-export {};
+export {
+  type Admission,
+  type AdmissionOptions,
+  type AdmissionRequest,
+  type AdmissionResult,
+  type AdmissionState,
+  type AdmissionTicket,
+  createAdmission,
+} from "./admission.ts";
+export {
+  type AdmissionCapacity,
+  type AdmissionUse,
+  computeCapacity,
+} from "./capacity.ts";
+export { createFairQueue, type FairQueue, type QueuedWork } from "./queue.ts";
--- /dev/null
+++ b/packages/core/src/request/admission/lengths.ts
@@ -0,0 +1,65 @@
+/** Output lengths and service times, learnt from answers that ended. */
+
+/** Learns the output length of each caller's requests. */
+export interface LengthEstimator {
+  readonly learn: (caller: string, outputTokens: number) => void;
+  /** Expected output tokens, at most `maxTokens`. */
+  readonly estimate: (caller: string, maxTokens: number) => number;
+}
+
+/** Learns how long answers take. */
+export interface ServiceTimes {
+  readonly learnFirstToken: (ms: number) => void;
+  readonly learnTokens: (ms: number, tokens: number) => void;
+  /** Expected time from dispatch to the last token, in ms. */
+  readonly estimate: (outputTokens: number) => number;
+}
+
+const maxCallers = 4_096;
+const priorTokens = 256;
+const learningRate = 0.05;
+/** Estimates lie above this share of the lengths seen. */
+const lengthQuantile = 0.7;
+const priorFirstTokenMs = 200;
+const priorTokenMs = 30;
+
+/** Creates an estimator that follows a quantile of each caller's lengths. */
+export function createLengthEstimator(): LengthEstimator {
+  const lengths = new Map<string, number>();
+  return {
+    learn(caller, outputTokens): void {
+      const known = lengths.get(caller);
+      const start = known ?? outputTokens;
+      const step = Math.max(start, 1) * learningRate;
+      const moved = outputTokens > start
+        ? start + step * lengthQuantile
+        : start - step * (1 - lengthQuantile);
+      lengths.delete(caller);
+      lengths.set(caller, known === undefined ? start : moved);
+      removeOldest(lengths);
+    },
+    estimate: (caller, maxTokens) =>
+      Math.min(lengths.get(caller) ?? priorTokens, maxTokens),
+  };
+}
+
+/** Creates averages of the time to the first token and between tokens. */
+export function createServiceTimes(): ServiceTimes {
+  let firstTokenMs = priorFirstTokenMs;
+  let tokenMs = priorTokenMs;
+  return {
+    learnFirstToken(ms): void {
+      firstTokenMs += (ms - firstTokenMs) * learningRate;
+    },
+    learnTokens(ms, tokens): void {
+      if (tokens < 1) return;
+      tokenMs += (ms / tokens - tokenMs) * learningRate;
+    },
+    estimate: (outputTokens) => firstTokenMs + outputTokens * tokenMs,
+  };
+}
+
+function removeOldest(lengths: Map<string, number>): void {
+  const oldest = lengths.keys().next();
+  if (lengths.size > maxCallers && !oldest.done) lengths.delete(oldest.value);
+}
--- a/packages/core/src/request/retries/index.ts
+++ b/packages/core/src/request/retries/index.ts
@@ -1,2 +1,7 @@
 /** Retry budgets and hedges. */
-export {};
+export {
+  createRetryBudget,
+  type HedgeState,
+  RepeatKind,
+  type RetryBudget,
+} from "./budget.ts";
--- a/packages/core/src/request/routing/index.ts
+++ b/packages/core/src/request/routing/index.ts
@@ -1,2 +1,27 @@
 /** Choice of an engine for a request. */
-export {};
+export { chooseRoute, type Route, type RouteOptions } from "./choose.ts";
+export {
+  countCachedTokens,
+  estimateBacklogTokens,
+  estimateMemoryWaitMs,
+  estimatePrefillMs,
+  estimateTokenMs,
+  type RouteRequest,
+} from "./estimate.ts";
+export {
+  charactersPerToken,
+  countTokens,
+  digestPrefixes,
+  hashText,
+  sortByRendezvous,
+} from "./prefixes.ts";
+export { createRecentRate, type RecentRate } from "./rates.ts";
+export {
+  createEndpointTable,
+  type EndpointFlags,
+  type EndpointTable,
+  type EndpointTableOptions,
+  type EngineView,
+  type WorkSize,
+  type WorkTicket,
+} from "./table.ts";
--- a/packages/core/src/request/suspects/index.ts
+++ b/packages/core/src/request/suspects/index.ts
@@ -1,2 +1,13 @@
 /** Requests that crash engines. */
-export {};
+export type {
+  CrashId,
+  DigestEvidence,
+  SuspectEvidence,
+  Trial,
+} from "./evidence.ts";
+export {
+  createSuspects,
+  type Suspects,
+  type SuspectsOptions,
+  SuspectVerdict,
+} from "./suspects.ts";
