Run calls that must not repeat at most once per caller and key

Cause: a booking that is sent again through another instance must not run twice, and its caller must learn whether it ran. Change: the calls stream is folded to one entry per caller and key; the first intent in log order wins and only its instance dispatches, once. Results are recorded, repeats get the recorded answer, unanswered appends are given up.

--- a/packages/core/src/process/calls/index.ts
+++ b/packages/core/src/process/calls/index.ts
@@ -1,2 +1,7 @@
 /** Agreement on calls that run at most once. */
-export {};
+export * from "./call_book.ts";
+export * from "./call_keys.ts";
+export * from "./calls_state.ts";
+export * from "./events.ts";
+export * from "./keep_settled.ts";
+export * from "./fold_calls.ts";
--- /dev/null
+++ b/packages/core/src/request/calls/dispatch.ts
@@ -0,0 +1,95 @@
+/** Attempts of calls at the endpoints of a plain service. */
+import {
+  Effect,
+  RemoteError,
+  type ServiceAnswer,
+  type ServiceClient,
+} from "../../types/index.ts";
+import type {
+  CallContext,
+  ServiceCall,
+  ServiceEndpoint,
+} from "./call_types.ts";
+
+const pingTimeoutMs = 1_000;
+const maxIdempotentAttempts = 3;
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: "answered"; readonly answer: ServiceAnswer }
+  /** Certainly not run. */
+  | { readonly kind: "not_run"; readonly retryAfterMs?: number }
+  /** May have run. */
+  | { readonly kind: "unknown" };
+
+/** Finds the first endpoint whose connection proves alive; undefined when none does. */
+export async function findLiveEndpoint(
+  call: ServiceCall,
+  context: CallContext,
+): Promise<ServiceEndpoint | undefined> {
+  for (const endpoint of context.rankEndpoints(call.service)) {
+    if (call.signal.aborted) return undefined;
+    if (await isAlive(context.openClient(endpoint), call.signal)) {
+      return endpoint;
+    }
+  }
+  return undefined;
+}
+
+/** Sends a call that must not repeat to one endpoint, once. */
+export async function sendOnce(
+  call: ServiceCall,
+  client: ServiceClient,
+): Promise<AttemptEnd> {
+  try {
+    return {
+      kind: "answered",
+      answer: await client.call(call.request, call.signal),
+    };
+  } catch (error) {
+    return readFailure(error);
+  }
+}
+
+/** Sends a call that may repeat until an endpoint answers, within a bound. */
+export async function sendRepeatable(
+  call: ServiceCall,
+  context: CallContext,
+): Promise<AttemptEnd> {
+  let end: AttemptEnd = { kind: "not_run" };
+  const endpoints = context.rankEndpoints(call.service);
+  for (const [index, endpoint] of endpoints.entries()) {
+    if (call.signal.aborted || index >= maxIdempotentAttempts) break;
+    if (index > 0 && context.allowRetry?.() === false) break;
+    const next = await sendOnce(call, context.openClient(endpoint));
+    if (next.kind === "answered") return next;
+    // One attempt that may have run makes the whole call one that may have run.
+    if (end.kind !== "unknown") end = next;
+  }
+  return end;
+}
+
+async function isAlive(
+  client: ServiceClient,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const abort = new AbortController();
+  const cancel = (): void => abort.abort();
+  const timer = setTimeout(cancel, pingTimeoutMs);
+  signal.addEventListener("abort", cancel, { once: true });
+  try {
+    await client.ping(abort.signal);
+    return !abort.signal.aborted;
+  } catch {
+    return false;
+  } finally {
+    clearTimeout(timer);
+    signal.removeEventListener("abort", cancel);
+  }
+}
+
+function readFailure(error: unknown): AttemptEnd {
+  if (!(error instanceof RemoteError)) return { kind: "unknown" };
+  if (error.effect !== Effect.None) return { kind: "unknown" };
+  return { kind: "not_run", retryAfterMs: error.retryAfterMs };
+}
--- /dev/null
+++ b/packages/core/src/request/calls/index.ts
@@ -0,0 +1,5 @@
+/** Calls to plain services: at most once, or repeated within bounds. */
+export * from "./call_types.ts";
+export { createCallLookUp } from "./look_up.ts";
+export { digestCall } from "./keyed_call.ts";
+export { isIdempotent, runCall } from "./run_call.ts";
--- /dev/null
+++ b/packages/core/src/request/calls/refusals.ts
@@ -0,0 +1,79 @@
+/** Refusals of calls under an idempotency key. */
+import { type CallsState, isKeyOutOfRange } from "../../process/calls/index.ts";
+import { Outcome, type Refusal, RefusalReason } from "../../types/index.ts";
+import {
+  buildRefusal,
+  endpointRetryAfterMs,
+  logRetryAfterMs,
+  undecidedRetryAfterMs,
+} from "./call_types.ts";
+
+/** The key is in use and its result is not known. */
+export function refuseUndecided(): Refusal {
+  return buildRefusal(RefusalReason.Undecided, {
+    outcome: Outcome.Unknown,
+    message: "an earlier request with this key has no recorded result",
+    retryAfterMs: undecidedRetryAfterMs,
+  });
+}
+
+/** The call ran; its answer was not kept. */
+export function refuseLongAnswer(): Refusal {
+  return buildRefusal(RefusalReason.Undecided, {
+    outcome: Outcome.Done,
+    message: "the call was run and its answer is too long to be kept",
+  });
+}
+
+/** The key belongs to a request with other contents. */
+export function refuseMismatch(): Refusal {
+  return buildRefusal(RefusalReason.KeyMismatch, {
+    outcome: Outcome.NotRun,
+    message: "idempotency key was used for another request",
+  });
+}
+
+/** The key is dated outside the time that is remembered. */
+export function refuseExpired(): Refusal {
+  return buildRefusal(RefusalReason.KeyExpired, {
+    outcome: Outcome.NotRun,
+    message: "idempotency key is dated outside the time that is remembered",
+  });
+}
+
+/** The log did not take the intent. */
+export function refuseLogOutage(): Refusal {
+  return buildRefusal(RefusalReason.LogUnavailable, {
+    outcome: Outcome.NotRun,
+    message: "the log did not take the call, so this request was not run",
+    retryAfterMs: logRetryAfterMs,
+  });
+}
+
+/** Refusal of an intent that every reader ignores. */
+export function refuseVoidIntent(state: CallsState, key: string): Refusal {
+  if (isKeyOutOfRange(state, key)) return refuseExpired();
+  return buildRefusal(RefusalReason.Overloaded, {
+    outcome: Outcome.NotRun,
+    message: "too many calls are undecided",
+    retryAfterMs: logRetryAfterMs,
+  });
+}
+
+/** No endpoint took the call, and its intent is given up. */
+export function refuseNoEndpoint(): Refusal {
+  return buildRefusal(RefusalReason.NoEndpoint, {
+    outcome: Outcome.NotRun,
+    message: "no endpoint of the service took the call",
+    retryAfterMs: endpointRetryAfterMs,
+  });
+}
+
+/** An endpoint may have run the call and its answer is lost. */
+export function refuseUnknown(): Refusal {
+  return buildRefusal(RefusalReason.EndpointFailed, {
+    outcome: Outcome.Unknown,
+    message: "the service may have run the call",
+    retryAfterMs: undecidedRetryAfterMs,
+  });
+}
--- a/packages/core/src/request/index.ts
+++ b/packages/core/src/request/index.ts
@@ -1,5 +1,6 @@
 /** Parts that live as long as one request. */
 export * from "./admission/index.ts";
+export * from "./calls/index.ts";
 export * from "./completion/index.ts";
 export * from "./retries/index.ts";
 export * from "./routing/index.ts";
