Put admission, routing, budgets and suspicion together for completions

Cause: the decision functions had no caller on the request path. Change: createCompletionParts builds the parts of streamCompletion from them; a lost attempt probes its engine before any retry, so that a request that crashes engines is suspect before it reaches the next one. Conclusion: the path of a request holds no policy of its own.

--- a/packages/core/src/request/completion/index.ts
+++ b/packages/core/src/request/completion/index.ts
@@ -1,4 +1,10 @@
 /** One completion from admission to its last token. */
+export { createInFlight, type InFlight } from "./in_flight.ts";
+export {
+  type CompletionContext,
+  createCompletionParts,
+  type VersionRoutes,
+} from "./parts.ts";
 export { streamCompletion } from "./run.ts";
 export {
   type AdmittedWork,
--- /dev/null
+++ b/packages/core/src/request/completion/parts.ts
@@ -0,0 +1,273 @@
+/** The decisions of one instance, put together for the run of completions. */
+import { type Either, Left, Right } from "purify-ts";
+import { waitFor } from "../../shared/index.ts";
+import {
+  type EndpointName,
+  type EngineClient,
+  type FailureDomain,
+  Outcome,
+  type Refusal,
+  RefusalReason,
+} from "../../types/index.ts";
+import type { Admission } from "../admission/index.ts";
+import { RepeatKind, type RetryBudget } from "../retries/index.ts";
+import {
+  chooseRoute,
+  digestPrefixes,
+  type EndpointTable,
+  type RouteRequest,
+} from "../routing/index.ts";
+import { type Suspects, SuspectVerdict } from "../suspects/index.ts";
+import type { InFlight } from "./in_flight.ts";
+import {
+  type AdmittedWork,
+  AttemptEnd,
+  type AttemptWork,
+  type CompletionCall,
+  type CompletionParts,
+  type CompletionRoute,
+} from "./types.ts";
+
+const probeTimeoutMs = 500;
+const firstTokenSlackMs = 5_000;
+const tokenSlackMs = 2_000;
+/** Multiple of an estimate after which silence is no longer explained. */
+const stallFactor = 4;
+const trialRetryAfterMs = 2_000;
+const suspectRetryAfterMs = 60_000;
+
+/** What lives as long as the process and serves all completions. */
+export interface CompletionContext {
+  readonly table: EndpointTable;
+  readonly admission: Admission;
+  readonly budget: RetryBudget;
+  readonly suspects: Suspects;
+  readonly inFlight: InFlight;
+  readonly getEngine: (engine: EndpointName) => EngineClient;
+  readonly ownDomain: FailureDomain;
+  readonly random: () => number;
+  /** Time in which evidence reaches the other instances, in ms. */
+  readonly exchangeMs: number;
+}
+
+/** What the version pinned by a request says of its route. */
+export interface VersionRoutes {
+  readonly listEngines: (call: CompletionCall) => ReadonlySet<EndpointName>;
+  readonly getDelayMs: (from: FailureDomain, to: FailureDomain) => number;
+}
+
+/** Puts the decisions together for requests of one version. */
+export function createCompletionParts(
+  context: CompletionContext,
+  version: VersionRoutes,
+): CompletionParts {
+  return {
+    admit: (call, signal) => admitCall(call, context, { signal }),
+    choose: (call, excluded) =>
+      chooseEngine(call, context, { version, excluded }),
+    getEngine: context.getEngine,
+    openWork: (call, route) => openAttemptWork(call, route, { context }),
+    allowRetry: (engine) =>
+      context.budget.allowRepeat(engine, RepeatKind.Retry),
+    noteAttemptEnd: (call, attempt) => noteEnd(call, attempt, { context }),
+  };
+}
+
+async function admitCall(
+  call: CompletionCall,
+  context: CompletionContext,
+  options: { readonly signal: AbortSignal },
+): Promise<Either<Refusal, AdmittedWork>> {
+  if (context.suspects.judge(call.digest) === SuspectVerdict.Refused) {
+    return Left(refuseSuspect());
+  }
+  return await context.admission.enter({
+    caller: call.caller.name,
+    share: call.caller.share,
+    priority: call.priority,
+    deadlineMs: call.deadlineMs,
+    promptTokens: call.promptTokens,
+    maxTokens: call.maxTokens,
+    signal: options.signal,
+  });
+}
+
+async function chooseEngine(
+  call: CompletionCall,
+  context: CompletionContext,
+  options: {
+    readonly version: VersionRoutes;
+    readonly excluded: ReadonlySet<EndpointName>;
+  },
+): Promise<Either<Refusal, CompletionRoute>> {
+  const { version, excluded } = options;
+  const verdict = context.suspects.judge(call.digest);
+  if (verdict === SuspectVerdict.Refused) return Left(refuseSuspect());
+  const request = buildRouteRequest(call, context);
+  const choose = (
+    exclude: ReadonlySet<EndpointName>,
+  ): Either<Refusal, CompletionRoute> =>
+    chooseRoute(request, context.table, {
+      random: context.random,
+      engines: version.listEngines(call),
+      exclude,
+      ownDomain: context.ownDomain,
+      getDelayMs: version.getDelayMs,
+    });
+  if (verdict === SuspectVerdict.Alone) {
+    return await chooseTrial(call, context, { choose, excluded });
+  }
+  const route = choose(excluded);
+  route.ifRight(({ engine }) => context.budget.noteAccepted(engine));
+  return route;
+}
+
+/** Finds an engine on which a suspect request is the only suspect. */
+async function chooseTrial(
+  call: CompletionCall,
+  context: CompletionContext,
+  options: {
+    readonly choose: (
+      exclude: ReadonlySet<EndpointName>,
+    ) => Either<Refusal, CompletionRoute>;
+    readonly excluded: ReadonlySet<EndpointName>;
+  },
+): Promise<Either<Refusal, CompletionRoute>> {
+  const tried = new Set(options.excluded);
+  while (true) {
+    const route = options.choose(tried);
+    if (route.isLeft()) return Left(refuseTrial());
+    const chosen = route.unsafeCoerce();
+    if (context.suspects.openTrial(call.digest, chosen.engine)) {
+      // Another instance may have opened a trial of the same request meanwhile.
+      await waitFor(context.exchangeMs);
+      if (context.suspects.checkTrial(call.digest)) {
+        return Right({ ...chosen, prefillOn: undefined });
+      }
+      context.suspects.closeTrial(call.digest);
+      return Left(refuseTrial());
+    }
+    tried.add(chosen.engine);
+  }
+}
+
+function buildRouteRequest(
+  call: CompletionCall,
+  context: CompletionContext,
+): RouteRequest {
+  return {
+    promptTokens: call.promptTokens,
+    expectedTokens: context.admission.estimateTokens(
+      call.caller.name,
+      call.maxTokens,
+    ),
+    prefixes: digestPrefixes(call.prompt),
+  };
+}
+
+function openAttemptWork(
+  call: CompletionCall,
+  route: CompletionRoute,
+  options: { readonly context: CompletionContext },
+): AttemptWork {
+  const { context } = options;
+  const { promptTokens, expectedTokens, prefixes } = buildRouteRequest(
+    call,
+    context,
+  );
+  const computed = route.prefillOn ? promptTokens : route.cachedTokens;
+  const work = context.table.openWork(route.engine, {
+    promptTokens,
+    cachedTokens: computed,
+    expectedTokens,
+    prefixes,
+  });
+  const prefill = route.prefillOn === undefined
+    ? undefined
+    : context.table.openWork(route.prefillOn, {
+      promptTokens,
+      cachedTokens: route.cachedTokens,
+      expectedTokens: 0,
+      prefixes,
+    });
+  const removals = [
+    route.engine,
+    ...route.prefillOn === undefined ? [] : [route.prefillOn],
+  ]
+    .map((engine) => context.inFlight.add(engine, call.digest));
+  let started = false;
+  return {
+    noteFirstToken(): void {
+      started = true;
+      work.noteFirstToken();
+      prefill?.noteFirstToken();
+      prefill?.close();
+    },
+    noteToken: work.noteToken,
+    close(): void {
+      work.close();
+      prefill?.close();
+      for (const remove of removals) remove();
+    },
+    getStallMs: () =>
+      started
+        ? tokenSlackMs + stallFactor * route.expectedTokenMs
+        : firstTokenSlackMs + stallFactor * route.expectedFirstTokenMs,
+  };
+}
+
+async function noteEnd(
+  call: CompletionCall,
+  attempt: { readonly engine: EndpointName; readonly end: AttemptEnd },
+  options: { readonly context: CompletionContext },
+): Promise<void> {
+  const { suspects, inFlight } = options.context;
+  if (attempt.end === AttemptEnd.Finished) suspects.noteCompleted(call.digest);
+  if (attempt.end === AttemptEnd.Lost) {
+    inFlight.noteLoss(attempt.engine, call.digest);
+    await noteCrashIfGone(attempt.engine, options.context);
+  }
+  suspects.closeTrial(call.digest);
+}
+
+/** Asks an engine for its state, so that a retry knows whether the request crashed it. */
+async function noteCrashIfGone(
+  engine: EndpointName,
+  context: CompletionContext,
+): Promise<void> {
+  const known = context.table.getView(engine)?.report?.startId;
+  if (known === undefined) return;
+  const probe = new AbortController();
+  const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
+  try {
+    const state = await context.getEngine(engine).fetchState(probe.signal);
+    if (state.startId === known) return;
+  } catch {
+    // An engine that cannot answer counts as crashed until it shows otherwise.
+    context.table.observeFlags(engine, { silent: true });
+  } finally {
+    clearTimeout(timer);
+  }
+  context.suspects.noteCrash(engine, context.inFlight.listSuspects(engine), {
+    startId: known,
+  });
+}
+
+function refuseSuspect(): Refusal {
+  return {
+    reason: RefusalReason.Suspect,
+    outcome: Outcome.NotRun,
+    message: "Engines that ran this request crashed, so it is not run again",
+    retryAfterMs: suspectRetryAfterMs,
+  };
+}
+
+function refuseTrial(): Refusal {
+  return {
+    reason: RefusalReason.Overloaded,
+    outcome: Outcome.NotRun,
+    message:
+      "The request may have crashed an engine and waits for one of its own",
+    retryAfterMs: trialRetryAfterMs,
+  };
+}
--- a/packages/core/src/request/completion/run.ts
+++ b/packages/core/src/request/completion/run.ts
@@ -66,6 +66,7 @@
         const event of streamAttempts(call, parts, { state, signal })
       ) {
         finished ||= event.kind === "finish";
+        if (event.kind === "token") admitted.noteFirstToken();
         yield event;
       }
     } finally {
@@ -86,7 +87,7 @@
 ): AsyncGenerator<CompletionEvent> {
   const { state, signal } = options;
   for (let attempt = 1;; attempt++) {
-    const route = parts.choose(call, state.excluded).extract();
+    const route = (await parts.choose(call, state.excluded)).extract();
     if (isRefusal(route)) {
       yield {
         kind: "refused",
@@ -131,7 +132,7 @@
     end = start.signal.aborted ? AttemptEnd.Abandoned : classifyEnd(error);
     return error;
   } finally {
-    parts.noteAttemptEnd(call, { engine: route.engine, end });
+    await parts.noteAttemptEnd(call, { engine: route.engine, end });
   }
 }
 
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -40,6 +40,7 @@
 
 /** Place of a request among those that its instance runs. */
 export interface AdmittedWork {
+  readonly noteFirstToken: () => void;
   /** Returns the reserved share and memory; `useful` when the answer was complete in time. */
   readonly close: (
     result: { readonly outputTokens: number; readonly useful: boolean },
@@ -51,6 +52,11 @@
   readonly engine: EndpointName;
   /** Engine that computes the prompt first and exports its KV cache. */
   readonly prefillOn?: EndpointName;
+  readonly expectedFirstTokenMs: number;
+  /** Expected time between tokens, in ms. */
+  readonly expectedTokenMs: number;
+  /** Prompt tokens whose KV cache the engine holds. */
+  readonly cachedTokens: number;
 }
 
 /** One attempt as the load estimates see it. */
@@ -82,7 +88,7 @@
   readonly choose: (
     call: CompletionCall,
     excluded: ReadonlySet<EndpointName>,
-  ) => Either<Refusal, CompletionRoute>;
+  ) => Promise<Either<Refusal, CompletionRoute>>;
   readonly getEngine: (engine: EndpointName) => EngineClient;
   readonly openWork: (
     call: CompletionCall,
@@ -90,8 +96,9 @@
   ) => AttemptWork;
   /** Asks for one more endpoint call on behalf of a request that had one. */
   readonly allowRetry: (engine: EndpointName) => boolean;
+  /** Resolves once it is known whether a lost attempt crashed its engine. */
   readonly noteAttemptEnd: (
     call: CompletionCall,
     attempt: { readonly engine: EndpointName; readonly end: AttemptEnd },
-  ) => void;
+  ) => Promise<void>;
 }
