Add stand-ins of platform and endpoints with their HTTP adapters

Cause: nothing could carry a request or a record from end to end. Change: stand-ins of the log, the list, the weight store, the engine and the plain service, each with faults that a test switches and records of what it saw; adapters over undici whose errors say Effect.None only when no byte was written or the other side said so.

--- /dev/null
+++ b/packages/core/src/connection/endpoint/endpoint_clients.ts
@@ -0,0 +1,74 @@
+/** Clients of all endpoints, one set of connections for each address. */
+import {
+  type HttpConnectionOptions,
+  type HttpConnections,
+  openHttpConnections,
+} from "../http/index.ts";
+import type { EndpointClients } from "../../types/endpoints.ts";
+import type { EndpointName } from "../../types/names.ts";
+import { createEngineClient } from "./engine_client.ts";
+import type { EndpointListeners } from "./observations.ts";
+import { createServiceClient } from "./service_client.ts";
+
+/** Settings of the clients. */
+export interface EndpointClientOptions extends EndpointListeners {
+  readonly connections?: HttpConnectionOptions;
+}
+
+/** Clients with access to their connections. */
+export interface OpenEndpointClients extends EndpointClients {
+  /** Connections of an endpoint, opened when they are not. */
+  readonly getConnections: (
+    endpoint: EndpointName,
+    address: string,
+  ) => HttpConnections;
+  /** Closes the connections of an endpoint that is gone. */
+  readonly closeEndpoint: (endpoint: EndpointName) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+interface OpenConnections {
+  readonly address: string;
+  readonly connections: HttpConnections;
+}
+
+/** Opens clients of engines and services over undici. */
+export function openEndpointClients(
+  options: EndpointClientOptions = {},
+): OpenEndpointClients {
+  const open = new Map<EndpointName, OpenConnections>();
+  const closeEndpoint = async (endpoint: EndpointName): Promise<void> => {
+    const entry = open.get(endpoint);
+    open.delete(endpoint);
+    await entry?.connections.close();
+  };
+  const getConnections = (
+    endpoint: EndpointName,
+    address: string,
+  ): HttpConnections => {
+    const known = open.get(endpoint);
+    if (known?.address === address) return known.connections;
+    // The endpoint moved; calls at its old address end on their own.
+    known?.connections.replace();
+    const connections = openHttpConnections(address, options.connections);
+    open.set(endpoint, { address, connections });
+    return connections;
+  };
+  return {
+    openEngine: (endpoint, address) =>
+      createEngineClient(getConnections(endpoint, address), {
+        endpoint,
+        listeners: options,
+      }),
+    openService: (endpoint, address) =>
+      createServiceClient(getConnections(endpoint, address), {
+        endpoint,
+        listeners: options,
+      }),
+    getConnections,
+    closeEndpoint,
+    close: async () => {
+      await Promise.all([...open.keys()].map(closeEndpoint));
+    },
+  };
+}
--- a/packages/core/src/connection/endpoint/index.ts
+++ b/packages/core/src/connection/endpoint/index.ts
@@ -1,2 +1,12 @@
 /** HTTP adapters of engines and services. */
-export {};
+export {
+  type EndpointClientOptions,
+  type OpenEndpointClients,
+  openEndpointClients,
+} from "./endpoint_clients.ts";
+export { type EndpointListeners } from "./observations.ts";
+export {
+  computePrefixDigests,
+  type PrefixSource,
+  splitTokens,
+} from "./prefix_digests.ts";
--- /dev/null
+++ b/packages/core/src/connection/endpoint/service_client.ts
@@ -0,0 +1,97 @@
+/** HTTP adapter of one plain service process. */
+import { z } from "zod";
+import {
+  convertError,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpConnections,
+  RemoteRefusal,
+} from "../http/index.ts";
+import type {
+  ServiceAnswer,
+  ServiceClient,
+  ServiceRequest,
+} from "../../types/endpoints.ts";
+import type { EngineAdapterOptions } from "./engine_client.ts";
+
+const pingTimeoutMs = 1_000;
+const lookUpTimeoutMs = 2_000;
+const pingSchema = z.object({ leaving: z.boolean().default(false) });
+
+/** Status with which a service refuses work and says so in its body. */
+const unavailableStatus = 503;
+
+/** Creates the client of a service process over its connections. */
+export function createServiceClient(
+  connections: HttpConnections,
+  options: EngineAdapterOptions,
+): ServiceClient {
+  const { endpoint, listeners } = options;
+  const exchange = async (call: HttpCall): Promise<ServiceAnswer> => {
+    const answer = await connections.send(call, {
+      refuseFrom: unavailableStatus,
+    }).catch((error) => {
+      const leaving = error instanceof RemoteRefusal &&
+        error.code === "leaving";
+      if (leaving) listeners.onLeaving?.(endpoint);
+      throw error;
+    });
+    const body = await readBody(answer, call);
+    listeners.onAlive?.(endpoint);
+    return { status: answer.status, headers: answer.headers, body };
+  };
+  return {
+    call: (request, signal) => exchange(buildCall(request, signal)),
+    lookUp: async (key, signal) => {
+      const call = {
+        method: "GET",
+        path: `/calls/${encodeURIComponent(key)}`,
+        timeoutMs: lookUpTimeoutMs,
+        signal,
+        readOnly: true,
+      };
+      try {
+        const answer = await connections.send(call);
+        const body = await readBody(answer, call);
+        return { status: answer.status, headers: answer.headers, body };
+      } catch (error) {
+        const absent = error instanceof RemoteRefusal &&
+          error.code === "not_run";
+        if (absent) return undefined;
+        throw error;
+      }
+    },
+    ping: async (signal) => {
+      const answer = await connections.fetchJson({
+        method: "GET",
+        path: "/ping",
+        timeoutMs: pingTimeoutMs,
+        signal,
+        readOnly: true,
+      }, pingSchema);
+      listeners.onAlive?.(endpoint);
+      if (answer.leaving) listeners.onLeaving?.(endpoint);
+    },
+  };
+}
+
+function buildCall(request: ServiceRequest, signal: AbortSignal): HttpCall {
+  const keyHeader: Record<string, string> = request.key
+    ? { "idempotency-key": request.key }
+    : {};
+  return {
+    method: request.method,
+    path: request.path,
+    headers: { ...request.headers, ...keyHeader },
+    body: request.body === "" ? undefined : request.body,
+    signal,
+  };
+}
+
+async function readBody(answer: HttpAnswer, call: HttpCall): Promise<string> {
+  try {
+    return await answer.body.text();
+  } catch (error) {
+    throw convertError(error, { sent: true, call });
+  }
+}
--- /dev/null
+++ b/packages/core/src/connection/http/http_errors.ts
@@ -0,0 +1,116 @@
+/** Turns HTTP failures and refusals into `RemoteError`. */
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import { Effect, RemoteError, RemoteFailure } from "../../types/effects.ts";
+import type { HttpAnswer, HttpCall } from "./http_connection.ts";
+
+/** A call took longer than its deadline. */
+export class DeadlineError extends Error {
+  /** Names the deadline in ms. */
+  constructor(timeoutMs: number) {
+    super(`no complete answer within ${timeoutMs} ms`);
+  }
+}
+
+const maxMessageLength = 512;
+
+const errorBodySchema = z.object({
+  error: z.object({
+    code: z.string().optional(),
+    message: z.string().optional(),
+    effect: z.enum(Effect).optional(),
+    retry_after_ms: z.number().optional(),
+  }),
+});
+
+const failuresByStatus: Readonly<Record<number, RemoteFailure>> = {
+  400: RemoteFailure.Malformed,
+  404: RemoteFailure.NotFound,
+  408: RemoteFailure.Timeout,
+  410: RemoteFailure.Expired,
+  429: RemoteFailure.RateLimited,
+  503: RemoteFailure.Busy,
+  504: RemoteFailure.Timeout,
+};
+
+const failuresByCode: Readonly<Record<string, RemoteFailure>> = {
+  busy: RemoteFailure.Busy,
+  expired: RemoteFailure.Expired,
+  fenced: RemoteFailure.Fenced,
+  leaving: RemoteFailure.Busy,
+  outage: RemoteFailure.Unreachable,
+  "rate_limited": RemoteFailure.RateLimited,
+};
+
+/** A refusal by the other side, with the code that it gave. */
+export class RemoteRefusal extends RemoteError {
+  /** Keeps the code next to the error's details. */
+  constructor(
+    message: string,
+    readonly code: string,
+    details: ConstructorParameters<typeof RemoteError>[1],
+  ) {
+    super(message, details);
+  }
+}
+
+/** Reads the error body of an answer above 399. */
+export async function readRefusal(
+  answer: Dispatcher.ResponseData<unknown>,
+  call: HttpCall,
+): Promise<RemoteError> {
+  const body = await answer.body.json().catch(() => undefined);
+  const parsed = errorBodySchema.safeParse(body);
+  const details = parsed.success ? parsed.data.error : {};
+  const code = details.code ?? "";
+  const message = details.message ?? `status ${answer.statusCode}`;
+  return new RemoteRefusal(
+    `${call.method} refused: ${message.slice(0, maxMessageLength)}`,
+    code,
+    {
+      failure: failuresByCode[code] ?? failuresByStatus[answer.statusCode] ??
+        RemoteFailure.Refused,
+      effect: call.readOnly ? Effect.None : details.effect ?? Effect.Unknown,
+      retryAfterMs: details.retry_after_ms,
+    },
+  );
+}
+
+/** Reads and validates a JSON answer. */
+export async function readJson<S extends z.ZodType>(
+  answer: HttpAnswer,
+  options: { readonly call: HttpCall; readonly schema: S },
+): Promise<z.infer<S>> {
+  const { call, schema } = options;
+  try {
+    return schema.parse(await answer.body.json());
+  } catch (error) {
+    throw convertError(error, { sent: true, call });
+  }
+}
+
+/** Converts any failure of a call; `sent` tells if bytes may have been written. */
+export function convertError(
+  error: unknown,
+  options: { readonly sent: boolean; readonly call: HttpCall },
+): RemoteError {
+  if (error instanceof RemoteError) return error;
+  const { sent, call } = options;
+  const reason = error instanceof Error ? error.message : String(error);
+  return new RemoteError(`${call.method} failed: ${reason}`, {
+    failure: findFailure(error, call),
+    effect: call.readOnly || !sent ? Effect.None : Effect.Unknown,
+    cause: error,
+  });
+}
+
+function findFailure(error: unknown, call: HttpCall): RemoteFailure {
+  if (call.signal?.aborted) return RemoteFailure.Aborted;
+  if (error instanceof z.ZodError || error instanceof SyntaxError) {
+    return RemoteFailure.Malformed;
+  }
+  const code = (error as { code?: unknown } | undefined)?.code;
+  const isTimeout = error instanceof DeadlineError ||
+    code === "UND_ERR_HEADERS_TIMEOUT" || code === "UND_ERR_BODY_TIMEOUT";
+  return isTimeout ? RemoteFailure.Timeout : RemoteFailure.Unreachable;
+}
--- /dev/null
+++ b/packages/core/src/connection/http/index.ts
@@ -0,0 +1,9 @@
+/** HTTP towards the platform and endpoints. */
+export {
+  type HttpAnswer,
+  type HttpCall,
+  type HttpConnectionOptions,
+  type HttpConnections,
+  openHttpConnections,
+} from "./http_connection.ts";
+export { convertError, RemoteRefusal } from "./http_errors.ts";
--- /dev/null
+++ b/packages/core/src/connection/http/send_tracker.ts
@@ -0,0 +1,43 @@
+/** Observes whether any byte of an HTTP request may have been written. */
+import type { Dispatcher } from "undici";
+
+/** Whether bytes of one call may have left this process. */
+export interface SendTracker {
+  sent: boolean;
+}
+
+/**
+ * Interceptor that marks the tracker, passed as `opaque`, immediately before
+ * the first byte of its request is written.
+ */
+export function observeSends(
+  dispatch: Dispatcher.Dispatch,
+): Dispatcher.Dispatch {
+  return (options, handler) => {
+    const { opaque } = options as { opaque?: SendTracker };
+    return dispatch(options, opaque ? withTracker(handler, opaque) : handler);
+  };
+}
+
+function withTracker(
+  handler: Dispatcher.DispatchHandler,
+  tracker: SendTracker,
+): Dispatcher.DispatchHandler {
+  return {
+    onRequestStart: (controller, context) => {
+      handler.onRequestStart?.(controller, context);
+      // A request aborted by then is dropped unwritten.
+      if (!controller.aborted) tracker.sent = true;
+    },
+    onRequestUpgrade: (controller, status, headers, socket) =>
+      handler.onRequestUpgrade?.(controller, status, headers, socket),
+    onResponseStart: (controller, status, headers, message) =>
+      handler.onResponseStart?.(controller, status, headers, message),
+    onResponseData: (controller, chunk) =>
+      handler.onResponseData?.(controller, chunk),
+    onResponseEnd: (controller, trailers) =>
+      handler.onResponseEnd?.(controller, trailers),
+    onResponseError: (controller, error) =>
+      handler.onResponseError?.(controller, error),
+  };
+}
--- /dev/null
+++ b/packages/core/src/process/platform/options.ts
@@ -0,0 +1,9 @@
+/** Settings that the platform's adapters share. */
+
+/** Where a platform service is and how long its answers may take. */
+export interface PlatformOptions {
+  /** IP number and port. */
+  readonly address: string;
+  /** Longest time to a complete answer, in ms. */
+  readonly timeoutMs?: number;
+}
--- /dev/null
+++ b/packages/standins/src/plain_service/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service. */
+export * from "./service_standin.ts";
--- /dev/null
+++ b/packages/standins/src/shared/index.ts
@@ -0,0 +1,3 @@
+/** Parts that all stand-ins use. */
+export * from "./faults.ts";
+export * from "./http_server.ts";
