--- a/packages/core/src/process/calls/fold_calls.ts
+++ b/packages/core/src/process/calls/fold_calls.ts
@@ -49,11 +49,16 @@
   return advanced;
 }
 
-/** Whether a key is too old to tell if it was used, or dated too far ahead. */
-export function isKeyOutOfRange(state: CallsState, key: string): boolean {
+/** Whether a key is so old that its call may have run and been forgotten. */
+export function isKeyExpired(state: CallsState, key: string): boolean {
   const timeMs = parseKeyTimeMs(key);
-  if (timeMs === undefined) return false;
-  return timeMs <= state.horizonMs || timeMs > state.newestMs + maxKeyLeadMs;
+  return timeMs !== undefined && timeMs <= state.horizonMs;
+}
+
+/** Whether a key is dated further ahead of the log than clocks may differ. */
+export function isKeyAhead(state: CallsState, key: string): boolean {
+  const timeMs = parseKeyTimeMs(key);
+  return timeMs !== undefined && timeMs > state.newestMs + maxKeyLeadMs;
 }
 
 function foldIntent(
@@ -66,7 +71,8 @@
   const { entry, record } = intent;
   if (record.instance !== entry.writer) return state;
   if (findCall(state, record)) return state;
-  if (isKeyOutOfRange(state, record.key)) return state;
+  if (isKeyExpired(state, record.key)) return state;
+  if (isKeyAhead(state, record.key)) return state;
   if (Object.keys(state.open).length >= maxOpenCalls) return state;
   const call: CallEntry = {
     caller: record.caller,
--- /dev/null
+++ b/packages/core/src/request/calls/calls.steps.ts
@@ -0,0 +1,165 @@
+/** Steps of `calls.feature`. */
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
+import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import type { Either } from "purify-ts";
+import type { Refusal } from "../../types/index.ts";
+import { listOpenCalls } from "../../process/calls/index.ts";
+import type { CallAnswer } from "./call_types.ts";
+import {
+  type CallInstance,
+  type CallWorldState,
+  createCallWorld,
+  settleMicrotasks,
+  StepFault,
+} from "./call_world.steps.ts";
+import { runCall } from "./run_call.ts";
+
+/** State of one scenario. */
+interface CallsWorld {
+  clock?: PausedClock;
+  desk: CallWorldState;
+  transcript: string[];
+  matchSnapshot: (received: unknown) => void;
+}
+
+After(function (this: CallsWorld): void {
+  this.desk?.stop();
+  this.clock?.uninstall();
+});
+
+Given(
+  /^a desk that offers (no look-up|a look-up by key)$/,
+  function (this: CallsWorld, offer: string): void {
+    this.clock = pauseClock();
+    this.desk = createCallWorld(offer !== "no look-up");
+    this.transcript = [];
+    this.desk.addInstance("a");
+    this.desk.addInstance("b");
+  },
+);
+
+When(
+  "these calls are made",
+  async function (this: CallsWorld, table: DataTable): Promise<void> {
+    for (const row of table.hashes()) await runRow(this, row);
+  },
+);
+
+When(
+  "a key dated 25 hours ago is used after a day of other calls",
+  async function (this: CallsWorld): Promise<void> {
+    const key = formatDatedKey(Date.now());
+    await runRow(this, { instance: "a", key, body: "x" });
+    await runRow(this, { instance: "b", key, body: "x" });
+    this.clock?.setSystemTime(Date.now() + 25 * 3_600_000);
+    await runRow(this, { instance: "a", key: "k2", body: "x" });
+    await runRow(this, { instance: "b", key, body: "x" });
+    const future = formatDatedKey(Date.now() + 3_600_000);
+    await runRow(this, { instance: "b", key: future, body: "x" });
+  },
+);
+
+Then("the calls match the snapshot", function (this: CallsWorld): void {
+  const reader = this.desk.instances.find((one) => !one.crashed);
+  reader?.readLog();
+  const state = reader?.context.book.stream.getState();
+  this.matchSnapshot({
+    answers: this.transcript,
+    runs: this.desk.runs.map((run) => run.key),
+    records: this.desk.log.map(({ record, writer }) =>
+      `${writer} ${record.kind} ${"result" in record ? record.result : ""}`
+    ),
+    open: state && listOpenCalls(state).map((call) => call.key),
+  });
+});
+
+async function runRow(
+  world: CallsWorld,
+  row: Readonly<Record<string, string>>,
+): Promise<void> {
+  if (row.instance === "late") {
+    for (const effect of world.desk.late.splice(0)) effect();
+    await runSteps(world, {});
+    return;
+  }
+  const instance = world.desk.instances.find((one) =>
+    one.name === row.instance
+  );
+  if (!instance) throw new Error(`no instance "${row.instance}"`);
+  const end = sendCallTo(world.desk, instance, {
+    key: row.key || undefined,
+    body: row.body ?? "",
+    request: String(world.transcript.length),
+  });
+  let text = "no answer";
+  void end.then((either) => {
+    text = formatEnd(either);
+  });
+  await runSteps(world, { fault: row.fault, sender: instance });
+  const fault = row.fault ? ` (${row.fault})` : "";
+  world.transcript.push(
+    `${row.instance} ${row.key} ${row.body}${fault}: ${text}`,
+  );
+}
+
+/** Carries out steps until the world is quiet for some seconds. */
+async function runSteps(
+  world: CallsWorld,
+  options: { readonly fault?: string; readonly sender?: CallInstance },
+): Promise<void> {
+  const { desk, clock } = world;
+  let fault = options.fault;
+  for (let round = 0; round < 60; round++) {
+    await settleMicrotasks();
+    for (const step of desk.pending.splice(0)) {
+      const hit = fault?.startsWith(`${step.kind} `) &&
+        step.instance === options.sender?.name;
+      step.run(
+        hit ? fault?.slice(step.kind.length + 1) as StepFault : StepFault.None,
+      );
+      if (hit) fault = undefined;
+    }
+    for (const instance of desk.instances) {
+      if (!instance.crashed) instance.readLog();
+    }
+    await settleMicrotasks();
+    if (desk.pending.length === 0) await clock?.tickAsync(200);
+  }
+}
+
+/** Sends one call to an instance. */
+export function sendCallTo(
+  desk: CallWorldState,
+  instance: CallInstance,
+  callOptions: {
+    readonly key: string | undefined;
+    readonly body: string;
+    readonly request: string;
+  },
+): Promise<Either<Refusal, CallAnswer>> {
+  return runCall({
+    caller: "shop",
+    service: desk.service,
+    request: {
+      method: "POST",
+      path: "/bookings",
+      headers: { request: callOptions.request },
+      body: callOptions.body,
+      key: callOptions.key,
+    },
+    signal: new AbortController().signal,
+  }, instance.context);
+}
+
+function formatEnd(end: Either<Refusal, CallAnswer>): string {
+  return end.caseOf({
+    Left: (refusal) => `${refusal.outcome}, ${refusal.reason}`,
+    Right: (answer) =>
+      `${answer.outcome}, ${answer.body}${answer.repeated ? ", repeated" : ""}`,
+  });
+}
+
+function formatDatedKey(timeMs: number): string {
+  const hex = timeMs.toString(16).padStart(12, "0");
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000000`;
+}
--- a/packages/core/src/request/calls/keyed_call.ts
+++ b/packages/core/src/request/calls/keyed_call.ts
@@ -7,7 +7,7 @@
   type CallSettled,
   findCall,
   formatCallId,
-  isKeyOutOfRange,
+  isKeyExpired,
 } from "../../process/calls/index.ts";
 import { digestText, waitFor } from "../../shared/index.ts";
 import {
@@ -79,7 +79,7 @@
   context: CallContext,
 ): Promise<CallEnd> {
   const { book } = context;
-  if (isKeyOutOfRange(book.stream.getState(), call.id.key)) {
+  if (isKeyExpired(book.stream.getState(), call.id.key)) {
     return Left(refuseExpired());
   }
   const intent = await appendIntent(call, context);
--- a/packages/core/src/request/calls/refusals.ts
+++ b/packages/core/src/request/calls/refusals.ts
@@ -1,5 +1,9 @@
 /** Refusals of calls under an idempotency key. */
-import { type CallsState, isKeyOutOfRange } from "../../process/calls/index.ts";
+import {
+  type CallsState,
+  isKeyAhead,
+  isKeyExpired,
+} from "../../process/calls/index.ts";
 import { Outcome, type Refusal, RefusalReason } from "../../types/index.ts";
 import {
   buildRefusal,
@@ -33,11 +37,18 @@
   });
 }
 
-/** The key is dated outside the time that is remembered. */
+/** The key is so old that its call may have run and been forgotten. */
 export function refuseExpired(): Refusal {
   return buildRefusal(RefusalReason.KeyExpired, {
+    outcome: Outcome.Unknown,
+    message: "idempotency key is older than the calls that are remembered",
+  });
+}
+
+function refuseAhead(): Refusal {
+  return buildRefusal(RefusalReason.Malformed, {
     outcome: Outcome.NotRun,
-    message: "idempotency key is dated outside the time that is remembered",
+    message: "idempotency key is dated ahead of the log's clock",
   });
 }
 
@@ -52,7 +63,8 @@
 
 /** Refusal of an intent that every reader ignores. */
 export function refuseVoidIntent(state: CallsState, key: string): Refusal {
-  if (isKeyOutOfRange(state, key)) return refuseExpired();
+  if (isKeyExpired(state, key)) return refuseExpired();
+  if (isKeyAhead(state, key)) return refuseAhead();
   return buildRefusal(RefusalReason.Overloaded, {
     outcome: Outcome.NotRun,
     message: "too many calls are undecided",
