--- a/packages/core/src/version/bundle/bundle.feature
+++ b/packages/core/src/version/bundle/bundle.feature
@@ -32,6 +32,12 @@
     Then the signature holds for that key
     But it fails when the bundle, the key's name, the key or the signature differs
 
+  Scenario: Keys in PEM serve as well
+    Given the example bundle of "calderas"
+    And a signing key in PEM named "ops"
+    When the key signs the bundle
+    Then the signature holds after writing and parsing
+
   Scenario: A signature survives the way through JSON
     Given the example bundle of "calderas"
     And a signing key named "ops"
--- a/packages/core/src/version/bundle/bundle.steps.ts
+++ b/packages/core/src/version/bundle/bundle.steps.ts
@@ -1,5 +1,6 @@
 /** Steps of `bundle.feature`. */
 import assert from "node:assert/strict";
+import { generateKeyPairSync } from "node:crypto";
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import {
   type Bundle,
@@ -63,6 +64,18 @@
   },
 );
 
+Given(
+  "a signing key in PEM named {string}",
+  function (this: BundleWorld, name: string): void {
+    this.keyName = name;
+    const { privateKey, publicKey } = generateKeyPairSync("ed25519", {
+      privateKeyEncoding: { type: "pkcs8", format: "pem" },
+      publicKeyEncoding: { type: "spki", format: "pem" },
+    });
+    this.key = { privateKey, publicKey };
+  },
+);
+
 Given("a changed copy of it", function (this: BundleWorld): void {
   this.changed = advance(this.bundle, (draft) => {
     draft.pools[0]?.engines.pop();
--- a/packages/core/src/version/bundle/sign_bundle.ts
+++ b/packages/core/src/version/bundle/sign_bundle.ts
@@ -1,7 +1,7 @@
 /**
  * Sign-off of bundles: Ed25519 over the canonical JSON (RFC 8785) of the
- * bundle. Keys are one line of base64 each, so that they fit settings and
- * environment variables: PKCS #8 DER for private, SPKI DER for public ones.
+ * bundle. Keys are PKCS #8 (private) and SPKI (public), in PEM or as one line
+ * of base64 DER, which fits settings and environment variables.
  */
 import {
   createPrivateKey,
@@ -14,7 +14,7 @@
 import { canonicalize } from "json-canonicalize";
 import type { Bundle, SignedBundle } from "../../types/index.ts";
 
-/** A pair of signing keys in base64. */
+/** A pair of signing keys, each in one line of base64. */
 export interface SigningKey {
   readonly privateKey: string;
   readonly publicKey: string;
@@ -24,7 +24,7 @@
 export interface SignBundleOptions {
   /** Name under which settings list the public key. */
   readonly keyName: string;
-  /** Private key as `createSigningKey` returns it. */
+  /** Private key in PEM or base64. */
   readonly privateKey: string;
 }
 
@@ -79,19 +79,29 @@
 }
 
 function readPrivateKey(text: string): KeyObject {
-  const der = Buffer.from(text.trim(), "base64");
   return expectEd25519(() =>
-    createPrivateKey({ key: der, type: "pkcs8", format: "der" })
+    isPem(text) ? createPrivateKey(text) : createPrivateKey({
+      key: Buffer.from(text.trim(), "base64"),
+      type: "pkcs8",
+      format: "der",
+    })
   );
 }
 
 function readPublicKey(text: string): KeyObject {
-  const der = Buffer.from(text.trim(), "base64");
   return expectEd25519(() =>
-    createPublicKey({ key: der, type: "spki", format: "der" })
+    isPem(text) ? createPublicKey(text) : createPublicKey({
+      key: Buffer.from(text.trim(), "base64"),
+      type: "spki",
+      format: "der",
+    })
   );
 }
 
+function isPem(text: string): boolean {
+  return text.trimStart().startsWith("-----BEGIN ");
+}
+
 /** Hides the reader's own error, which may quote parts of the key. */
 function expectEd25519(read: () => KeyObject): KeyObject {
   let key: KeyObject | undefined;
@@ -101,5 +111,5 @@
     key = undefined;
   }
   if (key?.asymmetricKeyType === "ed25519") return key;
-  throw new TypeError("key is not an Ed25519 key in base64 DER");
+  throw new TypeError("key is not an Ed25519 key in PEM or base64");
 }
