--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -209,6 +209,8 @@
   /** Interval that the counters cover, in ms since the epoch. */
   fromMs: z.number(),
   toMs: z.number(),
+  /** Whether the instance stopped in order after this interval. */
+  last: z.boolean().optional(),
   /** Counters by `group/model/name`. */
   counters: z.record(z.string(), z.number()),
 });
