Count service levels and compute burn rates from the log

The report has to outlive every instance, so each writes one bounded summary per interval to the burn stream; a summary that was not confirmed is replaced by a later one with the same start, so that nothing is lost or counted twice. computeBurn works on any order of records, names gaps, worst callers and causes.

--- /dev/null
+++ b/packages/core/src/process/burn/burn_counters.ts
@@ -0,0 +1,235 @@
+/**
+ * Counters of useful answers, tokens in time and refusals, by caller group and
+ * model. They cover one interval and are bounded, whatever callers send.
+ */
+import {
+  type BundleObjective,
+  Outcome,
+  RecordKind,
+  type RecordOf,
+  type RefusalReason,
+} from "../../types/index.ts";
+import {
+  BurnCounter,
+  callerPrefix,
+  formatBurnKey,
+  isLossCounter,
+  otherName,
+  refusedPrefix,
+} from "./burn_names.ts";
+
+const maxSeries = 512;
+const maxCallers = 4_096;
+const maxReportedCallers = 10;
+
+/** Limits that apply where the bundle has no objective. */
+export const defaultObjective = {
+  "first_token_ms": 1_400,
+  "between_tokens_ms": 55,
+} as const;
+
+/** A call as it begins. */
+export interface BurnCallStart {
+  /** Caller's name; absent before it is known. */
+  readonly caller?: string;
+  readonly group?: string;
+  /** Model or plain service. */
+  readonly model?: string;
+  /** Time for a useful answer, in ms. */
+  readonly deadlineMs?: number;
+}
+
+/** How a call ended. */
+export interface BurnCallEnd {
+  readonly outcome: Outcome;
+  /** Present on refused calls. */
+  readonly refusal?: RefusalReason;
+  /** The caller went away before its answer was complete. */
+  readonly abandoned?: boolean;
+}
+
+/** The counting of one call. */
+export interface BurnCall {
+  /** Notes tokens that were sent to the caller together, one by default. */
+  readonly noteTokens: (count?: number) => void;
+  /** Counts the call's end; later ends of the same call count nothing. */
+  readonly recordEnd: (end: BurnCallEnd) => void;
+}
+
+/** A record with the counters of one interval. */
+export type BurnSummary = RecordOf<RecordKind.BurnSummary>;
+
+/** Counters of one instance. */
+export interface BurnCounters {
+  readonly startCall: (start: BurnCallStart) => BurnCall;
+  /**
+   * Builds the summary of all that was counted since the last `clear`. The
+   * same start time with a later end replaces an earlier summary, so a summary
+   * whose append was not confirmed may be built and sent again.
+   */
+  readonly buildSummary: (
+    options?: { readonly last?: boolean },
+  ) => BurnSummary;
+  /** Forgets what a summary holds once the log has it. */
+  readonly clear: (summary: BurnSummary) => void;
+}
+
+/** Options of `createBurnCounters`. */
+export interface BurnCountersOptions {
+  readonly instance: string;
+  /** Objectives of the bundle in force. */
+  readonly getObjectives: () => readonly BundleObjective[];
+}
+
+/** Creates the counters of an instance. */
+export function createBurnCounters(
+  options: BurnCountersOptions,
+): BurnCounters {
+  const counters = createCounterMap({
+    maxKeys: maxSeries,
+    overflow: "overflow",
+  });
+  const callers = createCounterMap({
+    maxKeys: maxCallers,
+    overflow: `${callerPrefix}${otherName}`,
+  });
+  let fromMs = Date.now();
+
+  function startCall(start: BurnCallStart): BurnCall {
+    const group = start.group ?? otherName;
+    const model = start.model ?? otherName;
+    const limits = findLimits(options.getObjectives(), { group, model });
+    const startedMs = performance.now();
+    let lastMs: number | undefined;
+    let isEnded = false;
+
+    function add(name: string, count: number): void {
+      counters.add(formatBurnKey({ group, model, name }), count);
+    }
+
+    function noteTokens(count = 1): void {
+      const nowMs = performance.now();
+      if (lastMs === undefined) {
+        const inTime = nowMs - startedMs <= limits.first_token_ms;
+        const { FirstTokenInTime, FirstTokenLate } = BurnCounter;
+        add(inTime ? FirstTokenInTime : FirstTokenLate, 1);
+        if (count > 1) add(BurnCounter.TokensInTime, count - 1);
+      } else {
+        const inTime = nowMs - lastMs <= limits.between_tokens_ms * count;
+        add(inTime ? BurnCounter.TokensInTime : BurnCounter.TokensLate, count);
+      }
+      lastMs = nowMs;
+    }
+
+    function recordEnd(end: BurnCallEnd): void {
+      if (isEnded) return;
+      isEnded = true;
+      const elapsedMs = performance.now() - startedMs;
+      const name = chooseCounter(end, {
+        isLate: elapsedMs > (start.deadlineMs ?? Infinity),
+      });
+      add(name, 1);
+      if (start.caller === undefined || !isLossCounter(name)) return;
+      const key = { group, model, name: callerPrefix + start.caller };
+      callers.add(formatBurnKey(key), 1);
+    }
+
+    return { noteTokens, recordEnd };
+  }
+
+  function buildSummary(
+    { last = false }: { readonly last?: boolean } = {},
+  ): BurnSummary {
+    return {
+      kind: RecordKind.BurnSummary,
+      instance: options.instance,
+      fromMs,
+      // Start times stay unique when the wall clock steps back.
+      toMs: Math.max(Date.now(), fromMs + 1),
+      ...(last && { last }),
+      counters: { ...counters.list(), ...pickWorst(callers.list()) },
+    };
+  }
+
+  function clear(summary: BurnSummary): void {
+    counters.remove(summary.counters);
+    callers.clear();
+    fromMs = summary.toMs;
+  }
+
+  return { startCall, buildSummary, clear };
+}
+
+/** Chooses the one counter that a call's end belongs to. */
+function chooseCounter(
+  end: BurnCallEnd,
+  { isLate }: { readonly isLate: boolean },
+): string {
+  if (end.abandoned) return BurnCounter.Abandoned;
+  if (end.refusal !== undefined) return refusedPrefix + end.refusal;
+  switch (end.outcome) {
+    case Outcome.Done:
+      return isLate ? BurnCounter.Late : BurnCounter.Useful;
+    case Outcome.NotRun:
+      return BurnCounter.Failed;
+    case Outcome.Unknown:
+      return BurnCounter.Unknown;
+  }
+}
+
+function findLimits(
+  objectives: readonly BundleObjective[],
+  { group, model }: { readonly group: string; readonly model: string },
+): Pick<BundleObjective, "first_token_ms" | "between_tokens_ms"> {
+  const own = objectives.filter((objective) => objective.group === group);
+  return own.find((objective) => objective.model === model) ??
+    own.find((objective) => objective.model === undefined) ?? defaultObjective;
+}
+
+/** Counters by key, bounded in number; what exceeds the bound is counted together. */
+interface CounterMap {
+  readonly add: (key: string, count: number) => void;
+  /** Subtracts counts that were taken elsewhere. */
+  readonly remove: (counts: Readonly<Record<string, number>>) => void;
+  readonly clear: () => void;
+  readonly list: () => Readonly<Record<string, number>>;
+}
+
+function createCounterMap(
+  { maxKeys, overflow }: {
+    readonly maxKeys: number;
+    readonly overflow: string;
+  },
+): CounterMap {
+  const counts = new Map<string, number>();
+  const overflowKey = formatBurnKey({
+    group: otherName,
+    model: otherName,
+    name: overflow,
+  });
+  return {
+    add: (key, count) => {
+      const isFull = counts.size >= maxKeys - 1 && !counts.has(key);
+      const target = isFull ? overflowKey : key;
+      counts.set(target, (counts.get(target) ?? 0) + count);
+    },
+    remove: (taken) => {
+      for (const [key, count] of counts) {
+        const rest = count - (Object.hasOwn(taken, key) ? taken[key] ?? 0 : 0);
+        if (rest > 0) counts.set(key, rest);
+        else counts.delete(key);
+      }
+    },
+    clear: () => counts.clear(),
+    list: () => Object.fromEntries(counts),
+  };
+}
+
+/** The callers that lost most answers. */
+function pickWorst(
+  counts: Readonly<Record<string, number>>,
+): Readonly<Record<string, number>> {
+  const entries = Object.entries(counts);
+  entries.sort(([, left], [, right]) => right - left);
+  return Object.fromEntries(entries.slice(0, maxReportedCallers));
+}
--- a/packages/core/src/process/burn/index.ts
+++ b/packages/core/src/process/burn/index.ts
@@ -1,2 +1,7 @@
-/** Service-level counters and burn rates. */
-export {};
+/** Service-level counters and the report that is computed from them. */
+export * from "./burn_counters.ts";
+export * from "./burn_gaps.ts";
+export * from "./burn_names.ts";
+export * from "./compute_burn.ts";
+export * from "./events.ts";
+export * from "./keep_burn.ts";
--- /dev/null
+++ b/packages/core/src/process/burn/keep_burn.ts
@@ -0,0 +1,51 @@
+/** The task that writes an instance's service-level summaries to the log. */
+import { type LogEvent, logEvent, waitFor } from "../../shared/index.ts";
+import type { LogRecord } from "../../types/index.ts";
+import type { BurnCounters } from "./burn_counters.ts";
+import { burnEvents } from "./events.ts";
+
+const defaultIntervalMs = 30_000;
+
+/** Options of `keepBurn`. */
+export interface KeepBurnOptions {
+  readonly counters: BurnCounters;
+  /** Appends to the burn stream; resolves once the records are read back. */
+  readonly append: (records: readonly LogRecord[]) => Promise<unknown>;
+  /** Ends the task, after one last summary. */
+  readonly signal: AbortSignal;
+  /** Time between summaries, in ms: the instance's whole share of appends. */
+  readonly intervalMs?: number;
+  readonly logEvent?: LogEvent;
+}
+
+/**
+ * Appends one summary per interval until the signal aborts, then a last one.
+ * While the log refuses, the counters go on and reach it in a later summary.
+ */
+export async function keepBurn(options: KeepBurnOptions): Promise<void> {
+  const { counters, signal } = options;
+  const intervalMs = options.intervalMs ?? defaultIntervalMs;
+  const log = options.logEvent ?? logEvent;
+  let isDelayed = false;
+  while (!signal.aborted) {
+    await waitFor(intervalMs, signal);
+    const isWritten = await appendSummary(options, { last: signal.aborted });
+    if (isWritten && isDelayed) log(burnEvents.summaryResumed);
+    if (!isWritten && !isDelayed) log(burnEvents.summaryDelayed);
+    isDelayed = !isWritten;
+  }
+
+  async function appendSummary(
+    { append }: KeepBurnOptions,
+    { last }: { readonly last: boolean },
+  ): Promise<boolean> {
+    const summary = counters.buildSummary({ last });
+    try {
+      await append([summary]);
+      counters.clear(summary);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+}
