--- a/packages/standins/src/model_engine/engine_standin.ts
+++ b/packages/standins/src/model_engine/engine_standin.ts
@@ -7,10 +7,10 @@
   type EngineTarget,
   type LoadReport,
 } from "@trefoildoor/core";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
   createFaults,
   createGate,
+  createRandom,
   type Faults,
   type StandinAnswer,
   type StandinCall,
@@ -62,8 +62,6 @@
   readonly close: () => Promise<void>;
 }
 
-const randomRange = 0x1_0000_0000;
-
 /** Starts the engine stand-in. */
 export async function startEngineStandin(
   options: EngineStandinOptions = {},
@@ -74,8 +72,7 @@
   const crashDigests = new Set<string>();
   const orderListeners = new Set<(order: RecordedOrder) => void>();
   const streams = new Set<TokenStream>();
-  const generator = xoroshiro128plus(settings.seed);
-  const random = (): number => (generator.next() >>> 0) / randomRange;
+  const random = createRandom(settings.seed);
   let startId = randomUUID();
   let leaving = false;
   let crashed: Promise<void> | undefined;
--- /dev/null
+++ b/packages/standins/src/shared/random.ts
@@ -0,0 +1,9 @@
+/** Seeded random numbers. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Creates a generator of numbers from 0 to 1, the same for the same seed. */
+export function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
