Name cached prefixes as routing does, and take platform addresses as URLs

Cause: the engine stand-in and routing computed different prefix digests, and settings give HTTP URLs where the adapters wanted an IP number and port. Change: the stand-in uses the digests of routing; adapters take both forms.

--- a/packages/core/src/connection/endpoint/index.ts
+++ b/packages/core/src/connection/endpoint/index.ts
@@ -5,8 +5,3 @@
   openEndpointClients,
 } from "./endpoint_clients.ts";
 export { type EndpointListeners } from "./observations.ts";
-export {
-  computePrefixDigests,
-  type PrefixSource,
-  splitTokens,
-} from "./prefix_digests.ts";
--- a/packages/core/src/connection/http/http_connection.ts
+++ b/packages/core/src/connection/http/http_connection.ts
@@ -69,7 +69,7 @@
 const defaultAnswerTimeoutMs = 30_000;
 const defaultRefuseFrom = 400;
 const keepAliveTimeoutMs = 50_000;
-/** Opens connections to `IP:port`, each when it is first needed. */
+/** Opens connections to `IP:port` or an HTTP URL, each when it is first needed. */
 export function openHttpConnections(
   address: string,
   options: HttpConnectionOptions = {},
@@ -123,7 +123,7 @@
 }
 
 function openPool(address: string, options: HttpConnectionOptions): Pool {
-  const pool = new Pool(`http://${address}`, {
+  const pool = new Pool(buildOrigin(address), {
     connections: options.maxConnections ?? defaultMaxConnections,
     pipelining: 1,
     connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
@@ -134,6 +134,10 @@
   return pool.compose(observeSends) as Pool;
 }
 
+function buildOrigin(address: string): string {
+  return address.includes("://") ? address : `http://${address}`;
+}
+
 /** A call's signal, which its deadline aborts as well. */
 interface Deadline {
   readonly signal: AbortSignal;
