Follow the member list and observe each endpoint in a task of its own

Cause: nothing told leaving, silent and restarted endpoints from healthy ones. Change: membership folds the lagging list, endpoints' own answers and peers' word, which is not passed on, so that no rumour outlives its source; one task for each endpoint asks for signs of life, replaces silent connections, and reports silence and new starts. A resumed stream takes a new connection.

--- a/packages/core/src/connection/endpoint/endpoint_clients.ts
+++ b/packages/core/src/connection/endpoint/endpoint_clients.ts
@@ -8,6 +8,7 @@
 import type { EndpointName } from "../../types/names.ts";
 import { createEngineClient } from "./engine_client.ts";
 import type { EndpointListeners } from "./observations.ts";
+import { createProbe, type EndpointProbe, type ProbeKind } from "./probes.ts";
 import { createServiceClient } from "./service_client.ts";
 
 /** Settings of the clients. */
@@ -17,11 +18,11 @@
 
 /** Clients with access to their connections. */
 export interface OpenEndpointClients extends EndpointClients {
-  /** Connections of an endpoint, opened when they are not. */
-  readonly getConnections: (
-    endpoint: EndpointName,
-    address: string,
-  ) => HttpConnections;
+  /** Opens the probe of an endpoint, over the connections of its client. */
+  readonly openProbe: (
+    target: { readonly endpoint: EndpointName; readonly address: string },
+    kind: ProbeKind,
+  ) => EndpointProbe;
   /** Closes the connections of an endpoint that is gone. */
   readonly closeEndpoint: (endpoint: EndpointName) => Promise<void>;
   readonly close: () => Promise<void>;
@@ -65,7 +66,8 @@
         endpoint,
         listeners: options,
       }),
-    getConnections,
+    openProbe: ({ endpoint, address }, kind) =>
+      createProbe(getConnections(endpoint, address), kind),
     closeEndpoint,
     close: async () => {
       await Promise.all([...open.keys()].map(closeEndpoint));
--- a/packages/core/src/connection/endpoint/engine_client.ts
+++ b/packages/core/src/connection/endpoint/engine_client.ts
@@ -78,6 +78,8 @@
         path: `${buildAttemptPath(attemptId)}?from_index=${fromIndex}`,
         signal,
         readOnly: true,
+        // The connection that broke may have silent neighbours.
+        fresh: true,
       }),
     cancel: async (attemptId) => {
       await fetchJson({
--- /dev/null
+++ b/packages/core/src/connection/endpoint/events.ts
@@ -0,0 +1,26 @@
+/** Numbered events of connections to endpoints, 700 to 719. */
+import { type EventType, Severity } from "../../shared/index.ts";
+
+/** Numbered events of connections to endpoints. */
+export const endpointEvents = {
+  endpointSilent: {
+    number: 700,
+    severity: Severity.Warning,
+    message: "endpoint gives no sign of life",
+  },
+  endpointHeard: {
+    number: 701,
+    severity: Severity.Info,
+    message: "endpoint gives signs of life again",
+  },
+  endpointRestarted: {
+    number: 702,
+    severity: Severity.Warning,
+    message: "endpoint has started anew",
+  },
+  connectionsReplaced: {
+    number: 703,
+    severity: Severity.Warning,
+    message: "silent connections to an endpoint were replaced",
+  },
+} satisfies Record<string, EventType>;
--- a/packages/core/src/connection/endpoint/observations.ts
+++ b/packages/core/src/connection/endpoint/observations.ts
@@ -10,6 +10,4 @@
   readonly onLeaving?: (endpoint: EndpointName) => void;
   /** Bytes arrived, which proves that endpoint and connection are alive. */
   readonly onAlive?: (endpoint: EndpointName) => void;
-  /** A connection or the endpoint gave no sign of life where one was due. */
-  readonly onSilent?: (endpoint: EndpointName) => void;
 }
--- /dev/null
+++ b/packages/core/src/connection/endpoint/probes.ts
@@ -0,0 +1,74 @@
+/** Probes that tell whether an endpoint and its connections are alive. */
+import { z } from "zod";
+import type { HttpCall, HttpConnections } from "../http/index.ts";
+import type { LoadReport } from "../../types/endpoints.ts";
+import { loadReportSchema } from "./engine_schemas.ts";
+
+/** What one answered probe showed. */
+export interface ProbeResult {
+  /** Whether it is leaving, where it says so. */
+  readonly leaving?: boolean;
+  /** Load of an engine; absent on plain services. */
+  readonly report?: LoadReport;
+}
+
+/** Probes of one endpoint; rejections are `RemoteError`. */
+export interface EndpointProbe {
+  /** Asks once, on a pooled connection or on one of its own. */
+  readonly ask: (
+    options: { readonly fresh: boolean; readonly signal: AbortSignal },
+  ) => Promise<ProbeResult>;
+  /** Asks on every idle connection at once; true when each answered in time. */
+  readonly pingIdle: (signal: AbortSignal) => Promise<boolean>;
+  /** Uses new connections from now on. */
+  readonly replaceConnections: () => void;
+}
+
+/** Kind of a probed endpoint. */
+export enum ProbeKind {
+  /** An engine, which answers with its load. */
+  Load = "load",
+  /** Any endpoint that answers a ping. */
+  Ping = "ping",
+}
+
+const probeTimeoutMs = 1_000;
+const maxIdlePings = 64;
+const pingSchema = z.object({ leaving: z.boolean().default(false) });
+
+/** Creates the probe of an endpoint over its connections. */
+export function createProbe(
+  connections: HttpConnections,
+  kind: ProbeKind,
+): EndpointProbe {
+  const ping = (signal: AbortSignal): HttpCall => ({
+    method: "GET",
+    path: "/ping",
+    timeoutMs: probeTimeoutMs,
+    readOnly: true,
+    signal,
+  });
+  return {
+    ask: async ({ fresh, signal }) => {
+      const call = { ...ping(signal), fresh };
+      if (kind === ProbeKind.Ping) {
+        return await connections.fetchJson(call, pingSchema);
+      }
+      const report = await connections.fetchJson(
+        { ...call, path: "/v1/load" },
+        loadReportSchema,
+      );
+      return { report };
+    },
+    pingIdle: async (signal) => {
+      const count = Math.min(connections.countIdle(), maxIdlePings);
+      const pings = Array.from(
+        { length: count },
+        () => connections.fetchJson(ping(signal), pingSchema),
+      );
+      const results = await Promise.allSettled(pings);
+      return results.every(({ status }) => status === "fulfilled");
+    },
+    replaceConnections: connections.replace,
+  };
+}
--- a/packages/core/src/connection/http/http_connection.ts
+++ b/packages/core/src/connection/http/http_connection.ts
@@ -26,6 +26,8 @@
   readonly timeoutMs?: number;
   /** True when the call changes nothing, so that its failure has no effect. */
   readonly readOnly?: boolean;
+  /** Opens a connection for this call alone, past those that may be silent. */
+  readonly fresh?: boolean;
 }
 
 /** Answer whose body is not read yet. */
@@ -78,9 +80,14 @@
   const send: HttpConnections["send"] = async (call, sendOptions = {}) => {
     const tracker: SendTracker = { sent: false };
     const deadline = startDeadline(call);
+    const used = call.fresh ? openPool(address, options) : pool;
+    const release = (): void => {
+      deadline.clear();
+      if (call.fresh) used.destroy().catch(() => {});
+    };
     try {
       const answer = await Promise.race([
-        pool.request({
+        used.request({
           method: call.method as Dispatcher.HttpMethod,
           path: call.path,
           headers: call.headers,
@@ -90,7 +97,7 @@
         }),
         waitForUnsentAbort(tracker, deadline.signal),
       ]);
-      answer.body.once("close", deadline.clear);
+      answer.body.once("close", release);
       const refuseFrom = sendOptions.refuseFrom ?? defaultRefuseFrom;
       if (answer.statusCode >= refuseFrom) {
         throw await readRefusal(answer, call);
@@ -101,7 +108,7 @@
         body: answer.body,
       };
     } catch (error) {
-      deadline.clear();
+      release();
       throw convertError(error, { sent: tracker.sent, call });
     }
   };
--- a/packages/core/src/process/membership/index.ts
+++ b/packages/core/src/process/membership/index.ts
@@ -1,2 +1,8 @@
 /** Which endpoints and instances take work. */
-export {};
+export { membershipEvents } from "./events.ts";
+export {
+  createMembership,
+  type ListedPeer,
+  type Membership,
+  type MembershipOptions,
+} from "./membership.ts";
