Name prefixes by words on the endpoint's side again

Cause: the daemon counts tokens and names prefixes by words, as the engine stand-in does. Change: the shared digests of prefixes are back, and the stand-in uses them. Conclusion: instance and engine name cached prefixes alike.

--- a/packages/core/src/connection/endpoint/index.ts
+++ b/packages/core/src/connection/endpoint/index.ts
@@ -17,4 +17,9 @@
   type KeepEndpointOptions,
 } from "./keep_endpoint.ts";
 export { type EndpointListeners } from "./observations.ts";
+export {
+  computePrefixDigests,
+  type PrefixSource,
+  splitTokens,
+} from "./prefix_digests.ts";
 export { type EndpointProbe, ProbeKind, type ProbeResult } from "./probes.ts";
--- a/packages/standins/src/model_engine/batch.ts
+++ b/packages/standins/src/model_engine/batch.ts
@@ -1,10 +1,11 @@
 /** Continuous batching: sequences wait for KV blocks, are prefilled in chunks and decoded together. */
 import {
-  digestPrefixes,
+  computePrefixDigests,
   digestText,
   FinishReason,
   type GenerateRequest,
   kvBlockTokens,
+  splitTokens,
 } from "@trefoildoor/core";
 import {
   type EngineSettings,
@@ -77,16 +78,11 @@
   return indexes.map((index) => buildToken(digest, index)).join("");
 }
 
-/** Counts a text's tokens, which are its whitespace-separated words. */
-export function countWords(text: string): number {
-  return text.split(/\s+/).filter((word) => word !== "").length;
-}
-
 /** Counts the KV blocks that a request may come to need. */
 export function countBlocksNeeded(request: GenerateRequest): number {
   const resumed = request.resumeTokens?.length ?? 0;
   const output = Math.max(0, request.maxTokens - resumed);
-  const tokens = countWords(request.prompt) + resumed + output;
+  const tokens = splitTokens(request.prompt).length + resumed + output;
   return Math.ceil(tokens / kvBlockTokens);
 }
 
@@ -261,7 +257,7 @@
 
 function buildSequence(start: SequenceStart): Sequence {
   const { request } = start;
-  const promptTokens = countWords(request.prompt);
+  const promptTokens = splitTokens(request.prompt).length;
   const firstIndex = request.resumeTokens?.length ?? 0;
   return {
     request,
@@ -269,7 +265,7 @@
     firstIndex,
     blocks: countBlocksNeeded(request),
     tokens: [],
-    prefixDigests: digestPrefixes(request.prompt),
+    prefixDigests: computePrefixDigests(request),
     prefillOnly: start.prefillOnly ?? false,
     prefillLeft: start.imported ? 0 : promptTokens + firstIndex,
     listeners: new Set(),
