--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -13,7 +13,6 @@
 import { RepeatKind, type RetryBudget } from "../retries/index.ts";
 import {
   chooseRoute,
-  digestPrefixes,
   type EndpointTable,
   type RouteRequest,
 } from "../routing/index.ts";
@@ -161,7 +160,7 @@
       call.caller.name,
       call.maxTokens,
     ),
-    prefixes: digestPrefixes(call.prompt),
+    prefixes: call.prefixes,
   };
 }
 
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -19,6 +19,8 @@
   readonly prompt: string;
   /** Estimated length of the prompt. */
   readonly promptTokens: number;
+  /** Digests of the prompt's full KV blocks, shortest prefix first. */
+  readonly prefixes: readonly string[];
   readonly maxTokens: number;
   readonly priority: Priority;
   /** Time from arrival to the last token after which the answer is useless, in ms. */
--- a/packages/node/src/connection/gateway.ts
+++ b/packages/node/src/connection/gateway.ts
@@ -1,6 +1,6 @@
 /** The HTTP gateway for callers: a moleculer broker without transporter and its web service. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { RefusalReason } from "@trefoildoor/core";
+import { Outcome, outcomeHeader, RefusalReason } from "@trefoildoor/core";
 import { type Service, ServiceBroker, type ServiceSchema } from "moleculer";
 import ApiService from "moleculer-web";
 import type { Settings } from "../settings/index.ts";
@@ -8,6 +8,9 @@
 import { refuseNotRun } from "../request/refusals.ts";
 import { sendRefusal } from "./responses.ts";
 
+const notFound = 404;
+const payloadTooLarge = 413;
+
 /** A caller's request after its body was read. */
 export interface GatewayRequest extends IncomingMessage {
   /** Parsed JSON, or the text of other bodies. */
@@ -135,24 +138,21 @@
   error: unknown,
   options: GatewayOptions,
 ): void {
-  const { code, status, type } = error as {
-    code?: unknown;
-    status?: unknown;
-    type?: unknown;
-  };
-  if (type === "entity.too.large" || status === 413) {
+  const { code, type } = error as { code?: unknown; type?: unknown };
+  if (code === payloadTooLarge) {
     return sendRefusal(
       response,
       refuseNotRun(RefusalReason.TooLarge, "Request body is too large"),
     );
   }
-  if (code === 404 || type === "NOT_FOUND") {
+  if (code === notFound) {
     return sendRefusal(
       response,
       refuseNotRun(RefusalReason.UnknownService, "Path does not exist"),
     );
   }
-  if (typeof status === "number" && status < 500) {
+  // The web service gives errors of body parsers a type of this form.
+  if (typeof type === "string" && /^(entity|encoding|charset)\./.test(type)) {
     return sendRefusal(
       response,
       refuseNotRun(RefusalReason.Malformed, "Request body cannot be read"),
@@ -161,7 +161,7 @@
   options.onFailure(error);
   if (!response.headersSent) {
     // Nothing is known of how far the handler came.
-    response.writeHead(500, { "trefoildoor-outcome": "unknown" });
+    response.writeHead(500, { [outcomeHeader]: Outcome.Unknown });
   }
   response.end();
 }
--- a/packages/node/src/connection/peers/messages.ts
+++ b/packages/node/src/connection/peers/messages.ts
@@ -2,11 +2,25 @@
 import { z } from "zod";
 
 const maxName = 256;
-const maxSuspects = 1_024;
+const maxSuspects = 2_048;
+const maxCrashes = 64;
 const maxSamples = 4_096;
 
-/** Evidence against a request that crashed engines, opaque to the exchange. */
-const evidenceSchema = z.array(z.unknown()).max(maxSuspects);
+/** Evidence against requests that may crash engines. */
+const evidenceSchema = z.strictObject({
+  instance: z.string().max(maxName),
+  digests: z.array(z.strictObject({
+    digest: z.string().max(maxName),
+    crashes: z.array(z.string().max(maxName)).max(maxCrashes).readonly(),
+    cleared: z.array(z.string().max(maxName)).max(maxCrashes).readonly(),
+    updatedMs: z.number(),
+  })).max(maxSuspects).readonly(),
+  trials: z.array(z.strictObject({
+    digest: z.string().max(maxName),
+    engine: z.string().max(maxName),
+    instance: z.string().max(maxName),
+  })).max(maxSuspects).readonly(),
+});
 
 /** Work that one instance accepted during its newest intervals. */
 const demandSchema = z.strictObject({
--- /dev/null
+++ b/packages/node/src/process/daemon.ts
@@ -0,0 +1,238 @@
+/** Start and planned stop of one instance. */
+import {
+  logEvent,
+  Outcome,
+  RecordKind,
+  type Refusal,
+  RefusalReason,
+  waitFor,
+} from "@trefoildoor/core";
+import { type Either, Left, Right } from "purify-ts";
+import { type Gateway, openGateway } from "../connection/gateway.ts";
+import { openPeerServer, type PeerServer } from "../connection/peers/index.ts";
+import { daemonEvents } from "../events.ts";
+import { createCompletionsApp } from "../request/completions_app.ts";
+import { createHealthApp, type Health } from "../request/health_app.ts";
+import { refuseNotRun } from "../request/refusals.ts";
+import { createServicesApp } from "../request/services_app.ts";
+import type { Environment, Settings } from "../settings/index.ts";
+import type { VersionView } from "../version/view.ts";
+import { buildDigest, takeDigest } from "./exchange.ts";
+import { createInstance, type Instance } from "./instance.ts";
+import { serveCall, serveCompletion } from "./serving.ts";
+import { startTasks } from "./tasks.ts";
+import { createWorkCount, type WorkCount } from "./work_count.ts";
+
+const startRetryMs = 500;
+const noBundleRetryMs = 1_000;
+const stopRecordTimeoutMs = 3_000;
+
+/** A running instance. */
+export interface Daemon {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly getHealth: () => Health;
+  /** Ends new work, waits for work in flight and frees what is held. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Where an instance is between its start and its end. */
+enum Phase {
+  Starting = "starting",
+  Serving = "serving",
+  /** Not ready, but still taking what the balancer sends. */
+  Leaving = "leaving",
+  /** Refuses new work. */
+  Draining = "draining",
+}
+
+interface Life {
+  phase: Phase;
+}
+
+/** Starts an instance; resolves once it listens. */
+export async function startDaemon(
+  settings: Settings,
+  environment: Environment,
+): Promise<Daemon> {
+  const life: Life = { phase: Phase.Starting };
+  // The peers' listener needs the instance, whose name needs no port.
+  const started: { instance?: Instance } = {};
+  const peerServer = await openPeerServer(settings.peers, {
+    environment,
+    onRefused: () => logEvent(daemonEvents.peerRefused),
+    parts: {
+      exchange: (digest) => {
+        const current = getStarted(started);
+        takeDigest(current, digest);
+        return buildDigest(current, { stopping: isStopping(life) });
+      },
+      getControlState: () => getStarted(started).streams.control.getState(),
+    },
+  });
+  const instance = createInstance(settings, {
+    environment,
+    peerAddress: peerServer.address,
+  });
+  started.instance = instance;
+  const work = createWorkCount();
+  const getHealth = (): Health => readHealth(getStarted(started), life);
+  const gateway = await openGateway(settings.callers, {
+    environment,
+    apps: createApps(instance, life, { work, getHealth }),
+    onFailure: (error) =>
+      logEvent(daemonEvents.handlerFailed, { error: String(error) }),
+  });
+  startTasks(instance, { isStopping: () => isStopping(life) });
+  void registerStart(instance, peerServer.address, { life });
+  const parts = { instance, life, work, gateway, peerServer };
+  logEvent(daemonEvents.started, {
+    instance: instance.name,
+    callers: gateway.address,
+    peers: peerServer.address,
+  });
+  return {
+    callerAddress: gateway.address,
+    peerAddress: peerServer.address,
+    getHealth,
+    stop: () => stopInstance(parts),
+  };
+}
+
+function createApps(
+  instance: Instance,
+  life: Life,
+  options: { readonly work: WorkCount; readonly getHealth: () => Health },
+): Parameters<typeof openGateway>[1]["apps"] {
+  const { serving, settings } = instance;
+  const pinVersion = (): Either<Refusal, VersionView> =>
+    pickVersion(instance, life);
+  return [
+    options.work.countApp(createCompletionsApp({
+      pinVersion,
+      stream: (call, version, { signal }) =>
+        serveCompletion(call, version, { parts: serving, signal }),
+      writeTimeoutMs: settings.callers.write_timeout_ms,
+    })),
+    options.work.countApp(createServicesApp({
+      pinVersion,
+      runCall: (call, version) => serveCall(call, version, { parts: serving }),
+    })),
+    createHealthApp(options.getHealth),
+  ];
+}
+
+function pickVersion(
+  instance: Instance,
+  life: Life,
+): Either<Refusal, VersionView> {
+  if (life.phase === Phase.Draining) {
+    return Left(
+      refuseNotRun(RefusalReason.Stopping, "Instance is stopping", {
+        retryAfterMs: 0,
+      }),
+    );
+  }
+  const version = instance.getVersion();
+  if (version) return Right(version);
+  return Left(
+    refuseNotRun(RefusalReason.NoBundle, "No bundle is in force", {
+      retryAfterMs: noBundleRetryMs,
+    }),
+  );
+}
+
+function readHealth(instance: Instance, life: Life): Health {
+  const version = instance.getVersion()?.bundle.version ?? 0;
+  const reason = findReason(instance, life);
+  return {
+    ready: reason === undefined,
+    reason,
+    instance: instance.name,
+    failureDomain: instance.settings.failure_domain,
+    version,
+  };
+}
+
+function findReason(instance: Instance, life: Life): string | undefined {
+  if (isStopping(life)) return "instance is stopping";
+  if (!instance.streams.control.isStarted()) {
+    return "control state is not known";
+  }
+  if (!instance.getVersion()) return "no bundle is in force";
+  const usable = instance.table.listViews().some((view) => view.usable);
+  return usable || instance.getVersion()?.engines.size === 0
+    ? undefined
+    : "no engine is usable";
+}
+
+/** Records the start, which tells every reader that the address has a new process. */
+async function registerStart(
+  instance: Instance,
+  peerAddress: string,
+  { life }: { readonly life: Life },
+): Promise<void> {
+  const { control } = instance.streams;
+  const { signal } = instance.ending;
+  await control.waitUntilStarted();
+  while (!signal.aborted) {
+    try {
+      await control.append([{
+        kind: RecordKind.InstanceStarted,
+        instance: instance.name,
+        failureDomain: instance.settings.failure_domain,
+        peerAddress,
+      }]);
+      break;
+    } catch {
+      await waitFor(startRetryMs, signal);
+    }
+  }
+  if (life.phase === Phase.Starting) life.phase = Phase.Serving;
+}
+
+interface StopParts {
+  readonly instance: Instance;
+  readonly life: Life;
+  readonly work: WorkCount;
+  readonly gateway: Gateway;
+  readonly peerServer: PeerServer;
+}
+
+async function stopInstance(parts: StopParts): Promise<void> {
+  const { instance, life, work } = parts;
+  const { notice_ms: noticeMs, deadline_ms: deadlineMs } =
+    instance.settings.stop;
+  logEvent(daemonEvents.stopRequested, { inFlight: work.getCount() });
+  life.phase = Phase.Leaving;
+  await waitFor(noticeMs);
+  life.phase = Phase.Draining;
+  const left = await work.waitUntilIdle(deadlineMs);
+  if (left > 0) logEvent(daemonEvents.stopCut, { calls: left });
+  const closing = parts.gateway.close();
+  await Promise.race([recordStop(instance), waitFor(stopRecordTimeoutMs)]);
+  await instance.close();
+  await parts.peerServer.close();
+  if (left === 0) await closing;
+  logEvent(daemonEvents.stopped, {
+    outcome: left === 0 ? Outcome.Done : Outcome.Unknown,
+  });
+}
+
+async function recordStop(instance: Instance): Promise<void> {
+  await instance.book.drain();
+  await instance.streams.control.append([{
+    kind: RecordKind.InstanceStopped,
+    instance: instance.name,
+  }])
+    .catch(() => undefined);
+}
+
+function isStopping(life: Life): boolean {
+  return life.phase === Phase.Leaving || life.phase === Phase.Draining;
+}
+
+function getStarted(started: { readonly instance?: Instance }): Instance {
+  if (!started.instance) throw new Error("Instance is starting");
+  return started.instance;
+}
--- /dev/null
+++ b/packages/node/src/process/instance.ts
@@ -0,0 +1,181 @@
+/** The parts of one instance that live as long as its process. */
+import { randomUUID } from "node:crypto";
+import {
+  type CallBook,
+  computeCapacity,
+  type ControlState,
+  createAdmission,
+  createCallBook,
+  createEndpointTable,
+  createInFlight,
+  createRetryBudget,
+  createSuspects,
+  type EndpointName,
+  type EndpointTable,
+  type EngineClient,
+  type InFlight,
+  type InstanceName,
+  type OpenEndpointClients,
+  openEndpointClients,
+  openLogService,
+  openMemberList,
+  parseControlState,
+  type Suspects,
+} from "@trefoildoor/core";
+import { openPeerClient } from "../connection/peers/index.ts";
+import type { Environment, Settings } from "../settings/index.ts";
+import { buildVersionView, type VersionView } from "../version/view.ts";
+import { createDemandBook, type DemandBook } from "./demand.ts";
+import { createMemberBook, type MemberBook } from "./members.ts";
+import type { ServingParts } from "./serving.ts";
+import {
+  createSignatureChecks,
+  followStreams,
+  type Streams,
+} from "./streams.ts";
+
+const nameSuffixLength = 8;
+
+/** Everything that the tasks and handlers of one instance share. */
+export interface Instance {
+  /** Name of this start of the instance. */
+  readonly name: InstanceName;
+  readonly settings: Settings;
+  readonly environment: Environment;
+  readonly streams: Streams;
+  readonly members: MemberBook;
+  readonly clients: OpenEndpointClients;
+  readonly table: EndpointTable;
+  readonly suspects: Suspects;
+  readonly inFlight: InFlight;
+  readonly demand: DemandBook;
+  readonly book: CallBook;
+  readonly serving: ServingParts;
+  /** Bundle in force, indexed; undefined before the first. */
+  readonly getVersion: () => VersionView | undefined;
+  readonly getEngine: (engine: EndpointName) => EngineClient;
+  /** Aborted when tasks have to end. */
+  readonly ending: AbortController;
+  readonly close: () => Promise<void>;
+}
+
+/** Creates the parts; `peerAddress` is where other instances reach this one. */
+export function createInstance(
+  settings: Settings,
+  options: { readonly environment: Environment; readonly peerAddress: string },
+): Instance {
+  const { environment, peerAddress } = options;
+  const name = `${settings.instance}~${
+    randomUUID().slice(0, nameSuffixLength)
+  }`;
+  const ending = new AbortController();
+  const log = openLogService({ address: settings.platform.log });
+  const memberList = openMemberList({ address: settings.platform.members });
+  const members = createMemberBook(memberList.listMembers, {
+    ownAddress: peerAddress,
+  });
+  const streams = followStreams(log, {
+    instance: name,
+    signingKeys: settings.signing_keys,
+    fetchPeerState: () => fetchPeerState(members, settings, { environment }),
+  });
+  const getVersion = createVersionCache(streams);
+  const table = createEndpointTable({ countInstances: members.countInstances });
+  const clients = openEndpointClients({
+    onLoad: (engine, report) => table.observeReport(engine, report),
+    onLeaving: (endpoint) => members.noteLeaving(endpoint),
+  });
+  const getEngine = (engine: EndpointName): EngineClient =>
+    clients.openEngine(
+      engine,
+      getVersion()?.engines.get(engine)?.engine.address ?? "",
+    );
+  const suspects = createSuspects({ instance: name });
+  const inFlight = createInFlight();
+  const demand = createDemandBook(name);
+  const book = createCallBook(
+    { stream: streams.calls, instance: name },
+    ending.signal,
+  );
+  const serving: ServingParts = {
+    completion: {
+      table,
+      suspects,
+      inFlight,
+      getEngine,
+      admission: createAdmission({
+        getCapacity: (own) =>
+          computeCapacity(table, { instances: members.countInstances(), own }),
+      }),
+      budget: createRetryBudget(),
+      ownDomain: settings.failure_domain,
+      random: Math.random,
+      exchangeMs: 2 * settings.peers.exchange_interval_ms,
+    },
+    clients,
+    book,
+    demand,
+    isTaking: (endpoint) => !members.isLeaving(endpoint),
+  };
+  return {
+    name,
+    settings,
+    environment,
+    streams,
+    members,
+    clients,
+    table,
+    suspects,
+    inFlight,
+    demand,
+    book,
+    serving,
+    getVersion,
+    getEngine,
+    ending,
+    async close(): Promise<void> {
+      ending.abort();
+      await streams.stop();
+      await Promise.all([clients.close(), log.close(), memberList.close()]);
+    },
+  };
+}
+
+/** Indexes each bundle once, when it comes into force. */
+function createVersionCache(streams: Streams): () => VersionView | undefined {
+  let position = -1;
+  let view: VersionView | undefined;
+  return () => {
+    const { bundle } = streams.control.getState();
+    if (bundle && bundle.position !== position) {
+      position = bundle.position;
+      view = buildVersionView(bundle);
+    }
+    return view;
+  };
+}
+
+/** Asks every listed peer and takes the state that covers most. */
+async function fetchPeerState(
+  members: MemberBook,
+  settings: Settings,
+  { environment }: { readonly environment: Environment },
+): Promise<ControlState | undefined> {
+  const states = await Promise.all(
+    members.listPeers().map(async ({ address }) => {
+      const client = openPeerClient(address, {
+        settings: settings.peers,
+        environment,
+      });
+      const state = await client.fetchControlState().catch(() => undefined);
+      await client.close();
+      return parseControlState(
+        state,
+        createSignatureChecks(settings.signing_keys),
+      );
+    }),
+  );
+  return states
+    .filter((state) => state !== undefined)
+    .toSorted((left, right) => right.next - left.next)[0];
+}
--- /dev/null
+++ b/packages/node/src/process/streams.ts
@@ -0,0 +1,74 @@
+/** The log streams that an instance follows. */
+import {
+  buildCallsCheckpoint,
+  buildControlCheckpoint,
+  type CallsState,
+  type ControlState,
+  emptyCallsState,
+  emptyControlState,
+  foldCalls,
+  foldControl,
+  type FoldControlOptions,
+  followStream,
+  type InstanceName,
+  type LogService,
+  readCallsCheckpoint,
+  readControlCheckpoint,
+  type StreamFollower,
+  StreamName,
+  verifyBundle,
+} from "@trefoildoor/core";
+import type { Settings } from "../settings/index.ts";
+
+/** Followers of the streams that decide for all instances. */
+export interface Streams {
+  readonly control: StreamFollower<ControlState>;
+  readonly calls: StreamFollower<CallsState>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Checks signatures by the keys of the settings. */
+export function createSignatureChecks(
+  signingKeys: Settings["signing_keys"],
+): FoldControlOptions {
+  const keys = new Map(Object.entries(signingKeys));
+  return { verifySignature: (signed) => verifyBundle(signed, keys) };
+}
+
+/** Starts to follow the control and the calls stream. */
+export function followStreams(
+  log: LogService,
+  options: {
+    readonly instance: InstanceName;
+    readonly signingKeys: Settings["signing_keys"];
+    readonly fetchPeerState: () => Promise<ControlState | undefined>;
+  },
+): Streams {
+  const checks = createSignatureChecks(options.signingKeys);
+  const control = followStream<ControlState>({
+    stream: StreamName.Control,
+    log,
+    writer: options.instance,
+    emptyState: emptyControlState,
+    fold: (state, entry) => foldControl(state, entry, checks),
+    buildCheckpoint: buildControlCheckpoint,
+    readCheckpoint: (record) => readControlCheckpoint(record, checks),
+    initial: options.fetchPeerState,
+  });
+  const calls = followStream<CallsState>({
+    stream: StreamName.Calls,
+    log,
+    writer: options.instance,
+    emptyState: emptyCallsState,
+    fold: foldCalls,
+    buildCheckpoint: buildCallsCheckpoint,
+    readCheckpoint: readCallsCheckpoint,
+  });
+  return {
+    control,
+    calls,
+    async stop(): Promise<void> {
+      await Promise.all([control.stop(), calls.stop()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/process/work_count.ts
@@ -0,0 +1,63 @@
+/** Count of calls in flight at this instance, so that a planned stop can wait for them. */
+import type { ServerResponse } from "node:http";
+import type { GatewayApp, GatewayHandler } from "../connection/gateway.ts";
+
+/** Calls in flight. */
+export interface WorkCount {
+  readonly getCount: () => number;
+  /** Resolves once no call is in flight, or at the deadline; resolves to the calls left. */
+  readonly waitUntilIdle: (deadlineMs: number) => Promise<number>;
+  /** Counts the calls of an app's handlers. */
+  readonly countApp: (app: GatewayApp) => GatewayApp;
+}
+
+/** Creates the count. */
+export function createWorkCount(): WorkCount {
+  let count = 0;
+  const waiting = new Set<() => void>();
+
+  function countHandler(handler: GatewayHandler): GatewayHandler {
+    return async (request, response): Promise<void> => {
+      count++;
+      const ended = waitForEnd(response);
+      try {
+        await handler(request, response);
+        await ended;
+      } finally {
+        count--;
+        if (count === 0) { for (const wake of waiting) wake(); }
+      }
+    };
+  }
+
+  return {
+    getCount: () => count,
+    waitUntilIdle: (deadlineMs) =>
+      new Promise((resolve) => {
+        if (count === 0) return resolve(0);
+        const finish = (): void => {
+          clearTimeout(timer);
+          waiting.delete(finish);
+          resolve(count);
+        };
+        const timer = setTimeout(finish, deadlineMs);
+        waiting.add(finish);
+      }),
+    countApp: (app) => ({
+      ...app,
+      handlers: Object.fromEntries(
+        Object.entries(app.handlers).map((
+          [path, handler],
+        ) => [path, countHandler(handler)]),
+      ),
+    }),
+  };
+}
+
+/** Resolves once the whole answer is handed to the system or the caller is gone. */
+function waitForEnd(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once("finish", () => resolve());
+    response.once("close", () => resolve());
+  });
+}
--- a/packages/node/src/request/completion_body.ts
+++ b/packages/node/src/request/completion_body.ts
@@ -3,8 +3,10 @@
 import {
   type BundleCaller,
   type CompletionCall,
+  computePrefixDigests,
   digestText,
   RefusalReason,
+  splitTokens,
 } from "@trefoildoor/core";
 import type { Refusal } from "@trefoildoor/core";
 import { type Either, Left, Right } from "purify-ts";
@@ -98,7 +100,8 @@
     model: body.model,
     adapter: body.adapter,
     prompt: body.prompt,
-    promptTokens: countTokens(body.prompt),
+    promptTokens: splitTokens(body.prompt).length,
+    prefixes: computePrefixDigests(body),
     maxTokens: body.maxTokens,
     priority: caller.priority,
     deadlineMs: caller.deadline_ms,
@@ -106,8 +109,3 @@
     seed: body.seed,
   };
 }
-
-/** Estimates a text's length in tokens by its words. */
-export function countTokens(text: string): number {
-  return text.split(/\s+/).filter((word) => word.length > 0).length;
-}
--- a/packages/node/src/settings/schema.ts
+++ b/packages/node/src/settings/schema.ts
@@ -1,7 +1,10 @@
 /** Schema of the daemon's settings. docs/SETTINGS.md is written from it. */
 import { z } from "zod";
 
-const httpAddress = z.url({ protocol: /^https?$/ });
+const address = z.string().regex(
+  /^[^\s:/]+:\d{1,5}$/,
+  "is not an IP number and port",
+);
 const port = z.int().min(0).max(65_535);
 
 const secretSchema = z.union([
@@ -52,11 +55,11 @@
 });
 
 const platformSchema = z.strictObject({
-  log: httpAddress.describe("Address of the log service"),
-  members: httpAddress.describe(
+  log: address.describe("Address of the log service"),
+  members: address.describe(
     "Address of the list of live and leaving processes",
   ),
-  weights: httpAddress.describe("Address of the weight store"),
+  weights: address.describe("Address of the weight store"),
 });
 
 const metricsSchema = z.strictObject({
