--- a/packages/core/src/process/lease/keep_lease.feature
+++ b/packages/core/src/process/lease/keep_lease.feature
@@ -15,8 +15,8 @@
 
   Scenario: A holder that reads late counts its lease from sending
     When 3000 ms pass for the lease keepers
-    And the holder reads the lease's log 3500 ms late
-    And 4000 ms pass for the lease keepers
+    And the holder reads the lease's log 2300 ms late
+    And 8000 ms pass for the lease keepers
     And the holder is cut off from the lease's log
     And 20000 ms pass for the lease keepers
     Then two instances held the lease one after the other
--- a/packages/core/src/process/lease/keep_lease.steps.ts
+++ b/packages/core/src/process/lease/keep_lease.steps.ts
@@ -40,6 +40,7 @@
 
 const pool = "drafts";
 const tickMs = 50;
+const leaseTimeMs = 5_000;
 
 Given(
   "three instances that keep the lease of one pool",
@@ -156,6 +157,7 @@
     await world.clock.tickAsync(tickMs);
     const holders = listHolders(world);
     assert(holders.length <= 1, `${holders.join(" and ")} hold the lease`);
+    if (holders.length === 1) checkFreshSign(world);
     const holder = holders[0] ?? "nobody holds";
     const last = world.history.at(-1)?.replace(/^\d+ ms: /, "");
     if (holder === last || (!last && holders.length === 0)) continue;
@@ -164,6 +166,16 @@
   }
 }
 
+/** Checks that the log has a claim or renewal younger than the lease time. */
+function checkFreshSign(world: LeaseWorld): void {
+  const signs = world.memory.entries(StreamName.Control).filter(({ payload }) =>
+    payload.includes(RecordKind.LeaseClaimed) ||
+    payload.includes(RecordKind.LeaseRenewed)
+  );
+  const ageMs = Date.now() - (signs.at(-1)?.timeMs ?? 0);
+  assert(ageMs < leaseTimeMs, `held ${ageMs} ms after the last renewal`);
+}
+
 function listHolders(world: LeaseWorld): readonly string[] {
   return world.leaseNodes.flatMap(({ name, keeper }) => {
     const epoch: LogPosition | undefined = keeper.getEpoch();
@@ -197,6 +209,7 @@
     pool,
     instance: options.name,
     stream,
+    leaseTimeMs,
     random,
     logEvent: () => {},
   });
