Close an order that raises the number only once the engine has it

Model check of orders to engines that check numbers: a holder opened an order, took its place by one that raises the number, never sent that one and closed it, so that the next order met the first at the engine. Such a closing is now void; without the rule the random histories fail.

--- a/packages/core/src/version/control/control_histories.test.ts
+++ b/packages/core/src/version/control/control_histories.test.ts
@@ -130,7 +130,11 @@
 export function buildClosing(
   engine: string,
   order: LogPosition,
-  options: { readonly epoch: LogPosition; readonly closing?: OrderClosing },
+  options: {
+    readonly epoch: LogPosition;
+    readonly closing?: OrderClosing;
+    readonly reached?: boolean;
+  },
 ): LogRecord {
   return {
     kind: RecordKind.OrderClosed,
@@ -139,7 +143,7 @@
     engine,
     order,
     closing: options.closing ?? OrderClosing.Result,
-    reached: true,
+    reached: options.reached ?? true,
     detail: "",
   };
 }
@@ -177,6 +181,9 @@
     // Void: the deposed holder's order and renewal.
     add("a", buildOrder("c1", epoch));
     add("a", { kind: RecordKind.LeaseRenewed, pool: "checked", epoch });
+    // Void: the engine does not have the number.
+    add("b", buildClosing("c1", fence, { epoch: next, reached: false }));
+    add("b", buildOrder("c1", next));
     add("b", buildClosing("c1", fence, { epoch: next }));
     add("b", buildOrder("c1", next));
   },
--- a/packages/core/src/version/control/fold_control.steps.ts
+++ b/packages/core/src/version/control/fold_control.steps.ts
@@ -173,6 +173,7 @@
   order: OrderEntry,
 ): void {
   assert(record.kind === RecordKind.OrderClosed);
+  if (order.fenceOnly) assert(record.reached, "the engine has the number");
   if (record.closing === OrderClosing.Result) {
     return assert.equal(writer, order.sender);
   }
--- a/packages/core/src/version/control/index.ts
+++ b/packages/core/src/version/control/index.ts
@@ -20,6 +20,7 @@
   getVersionInForce,
   isDraining,
   isEpochCurrent,
+  isReached,
   isRegistered,
   isSendersResult,
   type Placed,
--- a/packages/core/src/version/control/random_control.test.ts
+++ b/packages/core/src/version/control/random_control.test.ts
@@ -28,6 +28,7 @@
   readonly closing: OrderClosing;
   readonly isStale: boolean;
   readonly flag: boolean;
+  readonly isReached: boolean;
 }
 
 const kinds = [
@@ -57,6 +58,7 @@
     closing: fc.constantFrom(...Object.values(OrderClosing)),
     isStale: fc.integer({ min: 0, max: 3 }).map((draw) => draw === 0),
     flag: fc.boolean(),
+    isReached: fc.boolean(),
   }),
   { minLength: 20, maxLength: 120 },
 );
@@ -115,7 +117,11 @@
       return { kind: step.kind, pool, version, author: writer };
     default: {
       const ownEpoch = flag ? state.orders[engine]?.epoch ?? 0 : epoch;
-      return buildClosing(engine, order, { epoch: ownEpoch, closing });
+      return buildClosing(engine, order, {
+        epoch: ownEpoch,
+        closing,
+        reached: step.isReached,
+      });
     }
   }
 }
--- a/packages/core/src/version/control/rules.ts
+++ b/packages/core/src/version/control/rules.ts
@@ -140,6 +140,7 @@
   const { pool, epoch, engine, order } = closing.record;
   const open = findOpenOrder(state, engine);
   if (!open || open.order !== order || open.pool !== pool) return false;
+  if (!isReached(open, closing)) return false;
   if (isSendersResult(open, closing)) return true;
   if (!isEpochCurrent(state, pool, { epoch })) return false;
   switch (closing.record.closing) {
@@ -155,6 +156,17 @@
   }
 }
 
+/**
+ * Whether an order may end as it did. One that raises the number stands for
+ * the open order whose place it took, so it ends only once the engine has it.
+ */
+export function isReached(
+  open: OrderEntry,
+  closing: Placed<RecordKind.OrderClosed>,
+): boolean {
+  return !open.fenceOnly || closing.record.reached;
+}
+
 /**
  * Whether the sender itself reports the end of its order. This counts after
  * its epoch has passed too: it is the only record of a deposed holder that
