Let a lease claim count only if no renewal came after its reader looked

Model of lease time with running clocks: a renewal that landed between a follower's last read and its claim gave two holders at once. A claim now names the newest claim or renewal it has read.

--- a/packages/core/src/process/lease/keep_lease.ts
+++ b/packages/core/src/process/lease/keep_lease.ts
@@ -127,7 +127,7 @@
   }
 
   async function claimLease(): Promise<void> {
-    const replaces = findLease()?.epoch ?? 0;
+    const replaces = findLease()?.renewed ?? 0;
     await appendRecord({
       kind: RecordKind.LeaseClaimed,
       pool,
--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -91,7 +91,10 @@
   kind: z.literal(RecordKind.LeaseClaimed),
   pool: text,
   holder: text,
-  /** Epoch that the claim replaces; 0 where there was none. */
+  /**
+   * Newest claim or renewal of the pool that the claimant has read; 0 where
+   * there was none. The claim counts only if none came in between.
+   */
   replaces: position,
 });
 
--- a/packages/core/src/version/control/control_histories.test.ts
+++ b/packages/core/src/version/control/control_histories.test.ts
@@ -203,6 +203,15 @@
     add("b", buildClosing("i1", order, { epoch: next, closing }));
     add("b", buildOrder("i1", next));
   },
+  "a renewal that lands before a claim": ({ add }) => {
+    const epoch = addHolder(add, "c1");
+    const renewal = { kind: RecordKind.LeaseRenewed, pool: "checked", epoch };
+    const renewed = add("a", renewal as LogRecord);
+    // Void: the claimant had not read the renewal.
+    add("b", buildClaim("checked", "b", { replaces: epoch }));
+    add("b", buildClaim("checked", "b", { replaces: renewed }));
+    add("a", renewal as LogRecord);
+  },
   "a deposed holder that reports its own result": ({ add }) => {
     const epoch = addHolder(add, "i1");
     add("a", buildDrain("i1", epoch));
--- a/packages/core/src/version/control/fold_control.feature
+++ b/packages/core/src/version/control/fold_control.feature
@@ -10,6 +10,7 @@
       | a rollback                                   |
       | a takeover on an engine that checks numbers  |
       | a takeover on an engine that ignores numbers |
+      | a renewal that lands before a claim |
       | a deposed holder that reports its own result |
 
   Scenario: Any split of the reads gives the same control state
--- a/packages/core/src/version/control/fold_control.steps.ts
+++ b/packages/core/src/version/control/fold_control.steps.ts
@@ -143,7 +143,7 @@
     }
     assert(lease.epoch > (earlier?.epoch ?? 0), "epochs increase");
     assert(record.kind === RecordKind.LeaseClaimed);
-    assert.equal(record.replaces, earlier?.epoch ?? 0);
+    assert.equal(record.replaces, earlier?.renewed ?? 0);
     assert.equal(after.instances[lease.holder]?.instance, lease.holder);
   }
 }
--- a/packages/core/src/version/control/random_control.test.ts
+++ b/packages/core/src/version/control/random_control.test.ts
@@ -95,7 +95,9 @@
         flag ? trustedKey : "stranger",
       );
     case RecordKind.LeaseClaimed:
-      return buildClaim(pool, writer, { replaces: epoch });
+      return buildClaim(pool, writer, {
+        replaces: pickReference(state.leases[pool]?.renewed, step),
+      });
     case RecordKind.LeaseRenewed:
     case RecordKind.LeaseReleased:
       return { kind: step.kind, pool, epoch };
--- a/packages/core/src/version/control/rules.ts
+++ b/packages/core/src/version/control/rules.ts
@@ -68,16 +68,17 @@
 }
 
 /**
- * Whether a claim wins: it names the epoch that it replaces, and its holder is
- * registered. Position 0 is no epoch.
+ * Whether a claim wins: it names the newest claim or renewal before it, and its
+ * holder is registered. So a holder that was heard of after the claimant looked
+ * keeps its lease. Position 0 is no epoch.
  */
 export function canClaimLease(
   state: ControlState,
   claim: Placed<RecordKind.LeaseClaimed>,
 ): boolean {
   const { pool, holder, replaces } = claim.record;
-  const epoch = getOwn(state.leases, pool)?.epoch ?? 0;
-  return claim.position > 0 && replaces === epoch &&
+  const newest = getOwn(state.leases, pool)?.renewed ?? 0;
+  return claim.position > 0 && replaces === newest &&
     isRegistered(state, holder);
 }
 
