Drain and order engines by rules for both kinds of fencing check

Cause: an engine must never hold two conflicting orders, whoever died, slept or lost an answer, and whether or not the engine checks fencing numbers. Change: orders are log records first; engines that check numbers are taken over by raising the number, engines that ignore them only once the earlier order is closed by its result, by what the engine shows, or by proof that its sender is gone and its bytes have arrived. Drains wait for every instance and for the engine's own state.

--- /dev/null
+++ b/packages/core/src/process/orders/admit_order.ts
@@ -0,0 +1,68 @@
+/** Records of orders: admitted before they are sent, closed when they end. */
+import { OrderClosing, RecordKind } from "../../types/index.ts";
+import { findOpenOrder } from "../../version/control/index.ts";
+import { orderEvents } from "./events.ts";
+import type {
+  AdmittedOrder,
+  EngineChange,
+  OrderContext,
+  OrderEnd,
+} from "./order_types.ts";
+import { recordUntilDone } from "./wait_state.ts";
+
+/**
+ * Records an order and reads it back. Undefined when it was not admitted;
+ * such an order must not be sent. Rejects when the log gives no answer: an
+ * order that lands after all stays open until `settleOpenOrder`.
+ */
+export async function admitOrder(
+  change: EngineChange,
+  context: OrderContext,
+  options: { readonly fenceOnly: boolean },
+): Promise<AdmittedOrder | undefined> {
+  const { pool, engine, epoch, target, version } = change;
+  const [order] = await context.stream.append([{
+    kind: RecordKind.OrderOpened,
+    pool: pool.name,
+    epoch,
+    engine: engine.name,
+    target: {
+      role: target.role,
+      models: target.models.map((model) => ({
+        ...model,
+        adapters: [...model.adapters],
+      })),
+    },
+    version,
+    fenceOnly: options.fenceOnly,
+  }]);
+  const open = findOpenOrder(context.stream.getState(), engine.name);
+  if (order === undefined || open?.order !== order) return undefined;
+  context.logEvent?.(orderEvents.orderOpened, { engine: engine.name, order });
+  return { ...change, order, fenceOnly: options.fenceOnly };
+}
+
+/** Records the end of an own order; counts after the lease is lost too. */
+export async function recordEnd(
+  order: AdmittedOrder,
+  context: OrderContext,
+  options: OrderEnd,
+): Promise<void> {
+  const { engine } = order;
+  await recordUntilDone({
+    kind: RecordKind.OrderClosed,
+    pool: order.pool.name,
+    epoch: order.epoch,
+    engine: engine.name,
+    order: order.order,
+    closing: OrderClosing.Result,
+    reached: options.reached,
+    detail: options.detail,
+  }, context);
+  context.logEvent?.(orderEvents.orderClosed, {
+    engine: engine.name,
+    order: order.order,
+    reached: options.reached,
+    detail: options.detail,
+  });
+}
--- a/packages/core/src/process/orders/index.ts
+++ b/packages/core/src/process/orders/index.ts
@@ -1,2 +1,26 @@
 /** Orders to engines, with drains before and read-back after. */
-export {};
+export {
+  confirmDrains,
+  type ConfirmDrainsOptions,
+  isEngineDrained,
+} from "./confirm_drains.ts";
+export { describeOrders, type OrderDescription } from "./describe_orders.ts";
+export { closeDrain, listUnconfirmed, silentLimitMs } from "./drain_engine.ts";
+export { orderEvents } from "./events.ts";
+export { orderFlightMs, readState } from "./follow_order.ts";
+export { orderEngine } from "./order_engine.ts";
+export {
+  type ChangeEnd,
+  ChangeStatus,
+  type EngineChange,
+  type HeldPool,
+  isSameTarget,
+  type OrderContext,
+  type PoolLease,
+} from "./order_types.ts";
+export { settleOpenOrder } from "./settle_order.ts";
+export {
+  missingLimitMs,
+  stopGoneInstances,
+  type StopGoneInstancesOptions,
+} from "./stop_gone_instances.ts";
--- /dev/null
+++ b/packages/core/src/process/orders/order_world.test.ts
@@ -0,0 +1,295 @@
+/** Instances over one log and one engine, with every remote step in the test's hand. */
+import {
+  type Bundle,
+  bundleSchema,
+  type ControlState,
+  Effect,
+  type EngineOrder,
+  EngineRole,
+  type EngineState,
+  type EngineTarget,
+  FenceCheck,
+  type LogPosition,
+  OrderProgress,
+  type PositionedRecord,
+  RecordKind,
+  RemoteError,
+  RemoteFailure,
+} from "../../types/index.ts";
+import {
+  addRecord,
+  createReader,
+  createStepWorld,
+  sendStep,
+  type StepReader,
+  type StepWorld,
+} from "../../shared/remote_steps.test.ts";
+import {
+  emptyControlState,
+  findOpenOrder,
+  foldControl,
+} from "../../version/control/index.ts";
+import { confirmDrains } from "./confirm_drains.ts";
+import type { EngineChange, OrderContext } from "./order_types.ts";
+
+/** An engine that records what it was ordered and what ran at the same time. */
+export interface TestEngine {
+  readonly received: string[];
+  readonly violations: string[];
+  readonly receive: (order: EngineOrder) => EngineState;
+  readonly readState: () => EngineState;
+  /** Ends the change that runs. */
+  readonly advance: () => void;
+  /** Restarts the engine; a change that runs is lost. */
+  readonly crash: () => void;
+  /** Requests that run. */
+  running: number;
+}
+
+/** One instance of the world. */
+export interface OrderInstance extends StepReader<ControlState> {
+  readonly name: string;
+  readonly context: OrderContext;
+  /** Epoch that the instance believes to hold. */
+  believes: LogPosition | undefined;
+  /** Requests of the instance at the engine. */
+  inFlight: number;
+}
+
+/** The world of one scenario. */
+export interface OrderWorldState extends StepWorld {
+  readonly bundle: Bundle;
+  readonly engine: TestEngine;
+  readonly instances: OrderInstance[];
+  /** Answers of the weight store; granted when empty. */
+  readonly grants: boolean[];
+  readonly addInstance: (name: string) => OrderInstance;
+  readonly foldLog: () => ControlState;
+  readonly stop: () => void;
+}
+
+/** Creates a world with one engine and a published bundle. */
+export function createOrderWorld(fenceCheck: FenceCheck): OrderWorldState {
+  const stop = new AbortController();
+  const steps = createStepWorld();
+  const bundle = buildBundle(fenceCheck);
+  let folded = emptyControlState;
+  const foldLog = (): ControlState => {
+    folded = steps.log.slice(folded.next).reduce(foldEntry, folded);
+    return folded;
+  };
+  const engine = createEngine(fenceCheck, foldLog);
+  const world: OrderWorldState = {
+    ...steps,
+    bundle,
+    engine,
+    instances: [],
+    grants: [],
+    addInstance: (name) => {
+      const instance = buildInstance(name, world, { signal: stop.signal });
+      world.instances.push(instance);
+      return instance;
+    },
+    foldLog,
+    stop: () => stop.abort(),
+  };
+  // Position 0 is no epoch, so something else comes first.
+  addRecord(world, "operator", {
+    record: {
+      kind: RecordKind.BundlePublished,
+      signed: { bundle, key: "test", signature: "" },
+    },
+  });
+  return world;
+}
+
+/** Builds a change of the world's engine to a version of its model. */
+export function buildChange(
+  world: OrderWorldState,
+  epoch: LogPosition,
+  options: { readonly version: string },
+): EngineChange {
+  const [pool] = world.bundle.pools;
+  const engine = pool?.engines[0];
+  if (!pool || !engine) throw new Error("no engine in the bundle");
+  const target = buildTarget(options.version);
+  return { pool, engine, epoch, target, version: world.bundle.version };
+}
+
+function foldEntry(state: ControlState, entry: PositionedRecord): ControlState {
+  return foldControl(state, entry, { verifySignature: () => true });
+}
+
+function buildTarget(version: string): EngineTarget {
+  const models = [{ model: "drafter", version, adapters: [] }];
+  return { role: EngineRole.Mixed, models };
+}
+
+function buildBundle(fenceCheck: FenceCheck): Bundle {
+  return bundleSchema.parse({
+    version: 1,
+    parent: 0,
+    author: "test",
+    failure_domains: [{ name: "sapporo" }],
+    pools: [{
+      name: "drafts",
+      fence_check: fenceCheck,
+      engines: [{ name: "e1", failure_domain: "sapporo", address: "" }],
+      models: [{ model: "drafter", version: "2" }],
+    }],
+  });
+}
+
+function buildInstance(
+  name: string,
+  world: OrderWorldState,
+  options: { readonly signal: AbortSignal },
+): OrderInstance {
+  const reader = createReader(world, {
+    instance: name,
+    emptyState: emptyControlState,
+    fold: foldEntry,
+  });
+  const send = <T>(kind: string, effect: () => T): Promise<T> =>
+    sendStep(world, { kind, instance: name, effect });
+  const instance: OrderInstance = {
+    name,
+    ...reader,
+    believes: undefined,
+    inFlight: 0,
+    context: {
+      instance: name,
+      stream: reader.stream,
+      lease: {
+        getEpoch: () => instance.believes,
+        expectHeld: (epoch) => {
+          if (instance.believes !== epoch) throw new Error("lease is lost");
+        },
+      },
+      openEngine: () => ({
+        ...unusedEngine,
+        fetchState: () => send("state", () => world.engine.readState()),
+        order: (order) => send("order", () => world.engine.receive(order)),
+      }),
+      reserveWeightLoad: () =>
+        Promise.resolve({
+          granted: world.grants.shift() ?? true,
+          retryAfterMs: 1_000,
+        }),
+      begun: new Set(),
+      signal: options.signal,
+    },
+  };
+  void confirmDrains({
+    instance: name,
+    stream: reader.stream,
+    countInFlight: () => instance.inFlight,
+    signal: options.signal,
+  });
+  addRecord(world, name, {
+    record: {
+      kind: RecordKind.InstanceStarted,
+      instance: name,
+      failureDomain: "sapporo",
+      peerAddress: name,
+    },
+  });
+  return instance;
+}
+
+const unusedEngine = {
+  generate: refuseUse,
+  resume: refuseUse,
+  cancel: refuseUse,
+  fetchLoad: refuseUse,
+  exportKv: refuseUse,
+};
+
+function refuseUse(): never {
+  throw new Error("unused in this test");
+}
+
+function createEngine(
+  fenceCheck: FenceCheck,
+  foldLog: () => ControlState,
+): TestEngine {
+  let target = buildTarget("1");
+  let fence = 0;
+  let newest: EngineOrder | undefined;
+  let progress = OrderProgress.None;
+  let starts = 1;
+  let sequence = 0;
+  const running = new Set<EngineOrder>();
+
+  function receive(order: EngineOrder): EngineState {
+    if (fenceCheck === FenceCheck.Checked) checkFence(order);
+    const kind = order.fenceOnly ? "number" : "change";
+    engine.received.push(`${kind} ${order.fence}`);
+    if (order.fenceOnly || newest?.fence === order.fence) return readState();
+    if (running.size > 0) engine.violations.push("two changes at once");
+    if (engine.running > 0) engine.violations.push("requests were cut");
+    const open = findOpenOrder(foldLog(), "e1");
+    const isClosed = open?.order !== order.fence;
+    if (fenceCheck === FenceCheck.Ignored && isClosed) {
+      engine.violations.push(`closed order ${order.fence} arrived`);
+    }
+    running.add(order);
+    newest = order;
+    progress = OrderProgress.Running;
+    return readState();
+  }
+
+  function checkFence(order: EngineOrder): void {
+    if (order.fence < fence) {
+      engine.received.push(`refused ${order.fence}`);
+      throw new RemoteError("old number", {
+        failure: RemoteFailure.Fenced,
+        effect: Effect.None,
+      });
+    }
+    fence = order.fence;
+  }
+
+  function readState(): EngineState {
+    const order = newest?.fence ?? 0;
+    const startId = `start ${starts}`;
+    const { running } = engine;
+    sequence++;
+    return {
+      startId,
+      target,
+      fence,
+      order,
+      progress,
+      running,
+      queued: 0,
+      sequence,
+    };
+  }
+
+  function advance(): void {
+    const order = [...running].at(-1);
+    running.clear();
+    if (!order) return;
+    target = order.target;
+    progress = OrderProgress.Finished;
+  }
+
+  function crash(): void {
+    running.clear();
+    newest = undefined;
+    progress = OrderProgress.None;
+    starts++;
+  }
+
+  const engine: TestEngine = {
+    received: [],
+    violations: [],
+    receive,
+    readState,
+    advance,
+    crash,
+    running: 0,
+  };
+  return engine;
+}
--- /dev/null
+++ b/packages/core/src/process/orders/orders_property.steps.ts
@@ -0,0 +1,184 @@
+/** Random runs of `orders.feature`: any step may fail in any way, at any time. */
+import { strict as assert } from "node:assert";
+import { Then } from "@cucumber/cucumber";
+import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import fc from "fast-check";
+import { FenceCheck, RecordKind } from "../../types/index.ts";
+import {
+  addRecord,
+  settleMicrotasks,
+  StepFault,
+} from "../../shared/remote_steps.test.ts";
+import { orderFlightMs } from "./follow_order.ts";
+import { orderEngine } from "./order_engine.ts";
+import {
+  buildChange,
+  createOrderWorld,
+  type OrderWorldState,
+} from "./order_world.test.ts";
+import { claimPool } from "./orders.steps.ts";
+
+const choiceCount = 300;
+/** One step in this many fails. */
+const faultInterval = 5;
+const faults = Object.values(StepFault);
+const longestTickMs = 20_000;
+
+/** A run that has to be started and watched. */
+interface RandomRun {
+  readonly fleet: OrderWorldState;
+  readonly clock: PausedClock;
+  changes: number;
+}
+
+Then(
+  /^(\d+) random runs on an engine that (checks|ignores) numbers with seed (\d+) show no conflict$/,
+  { timeout: 600_000 },
+  async function (runs: string, checks: string, seed: string): Promise<void> {
+    const clock = pauseClock();
+    const fenceCheck = checks === "checks"
+      ? FenceCheck.Checked
+      : FenceCheck.Ignored;
+    const property = fc.asyncProperty(
+      fc.array(fc.nat({ max: 0xffff }), {
+        minLength: choiceCount,
+        maxLength: choiceCount,
+      }),
+      (choices) => runRandomly({ clock, fenceCheck, choices }),
+    );
+    try {
+      const options = { seed: Number(seed), numRuns: Number(runs) };
+      await fc.assert(property, { ...options, endOnFailure: true });
+    } finally {
+      clock.uninstall();
+    }
+  },
+);
+
+async function runRandomly(options: {
+  readonly clock: PausedClock;
+  readonly fenceCheck: FenceCheck;
+  readonly choices: readonly number[];
+}): Promise<void> {
+  const fleet = createOrderWorld(options.fenceCheck);
+  const run: RandomRun = { fleet, clock: options.clock, changes: 0 };
+  for (const name of ["a", "b", "c"]) fleet.addInstance(name);
+  for (const choice of options.choices) {
+    await runStep(run, choice);
+    assert.deepEqual(fleet.engine.violations, []);
+  }
+  await checkProgress(run);
+  fleet.stop();
+  await options.clock.tickAsync(2_000);
+}
+
+async function runStep(run: RandomRun, choice: number): Promise<void> {
+  const { fleet } = run;
+  const rest = Math.floor(choice / 10);
+  const instance = fleet.instances[rest % fleet.instances.length];
+  switch (choice % 10) {
+    case 0:
+      if (instance && !fleet.crashed.has(instance.name) && rest % 4 === 0) {
+        instance.readLog();
+        claimPool(fleet, instance);
+      }
+      break;
+    case 1:
+      // An instance may believe in an epoch that has passed.
+      if (instance?.believes) startChange(run, instance.name);
+      break;
+    case 2:
+      if (rest % 3 === 0) fleet.engine.advance();
+      if (rest % 31 === 0) fleet.engine.crash();
+      break;
+    case 3:
+      fleet.late.splice(rest % (fleet.late.length || 1), 1)[0]?.run();
+      break;
+    case 4:
+      await advanceClock(run, rest % longestTickMs);
+      break;
+    case 5:
+      instance?.readLog(rest % 4);
+      break;
+    default:
+      runPending(fleet, rest);
+  }
+  await settleMicrotasks();
+  replaceCrashed(fleet, rest);
+}
+
+function startChange(run: RandomRun, name: string): void {
+  const { fleet } = run;
+  const instance = fleet.instances.find((one) => one.name === name);
+  if (!instance?.believes || fleet.crashed.has(name)) return;
+  const version = String(2 + run.changes++ % 3);
+  const change = buildChange(fleet, instance.believes, { version });
+  orderEngine(change, instance.context).catch(() => {
+    // The instance notices that its lease is lost.
+    if (instance.believes === change.epoch) instance.believes = undefined;
+  });
+}
+
+function runPending(fleet: OrderWorldState, choice: number): void {
+  const index = choice % (fleet.pending.length || 1);
+  const fails = Math.floor(choice / 64) % faultInterval === 0;
+  const fault = faults[Math.floor(choice / 320) % faults.length];
+  const step = fleet.pending.splice(index, 1)[0];
+  step?.run(fails && fault ? fault : StepFault.None);
+}
+
+/** Advances the clock; bytes on their way arrive within their bound. */
+async function advanceClock(run: RandomRun, ms: number): Promise<void> {
+  const edgeMs = performance.now() + ms - orderFlightMs;
+  const due = run.fleet.late.filter((late) => late.sinceMs <= edgeMs);
+  for (const late of due) {
+    run.fleet.late.splice(run.fleet.late.indexOf(late), 1);
+    late.run();
+  }
+  await run.clock.tickAsync(ms);
+}
+
+/** Starts new instances; a crashed one is recorded as stopped some time later. */
+function replaceCrashed(fleet: OrderWorldState, choice: number): void {
+  const live = fleet.instances.filter((one) => !fleet.crashed.has(one.name));
+  if (live.length < 3) fleet.addInstance(`n${fleet.instances.length}`);
+  const [gone] = [...fleet.crashed].filter((name) =>
+    Object.hasOwn(fleet.foldLog().instances, name)
+  );
+  if (!gone || choice % 7 !== 0) return;
+  addRecord(fleet, "list", {
+    record: { kind: RecordKind.InstanceStopped, instance: gone },
+  });
+}
+
+/** Without faults, the next holder brings the engine into its target. */
+async function checkProgress(run: RandomRun): Promise<void> {
+  const { fleet } = run;
+  for (const instance of fleet.crashed) {
+    addRecord(fleet, "list", {
+      record: { kind: RecordKind.InstanceStopped, instance },
+    });
+  }
+  const holder = fleet.instances.find((one) => !fleet.crashed.has(one.name));
+  assert(holder, "no instance lives");
+  for (const one of fleet.instances) one.believes = undefined;
+  claimPool(fleet, holder);
+  let end = "no end";
+  for (let round = 0; round < 1_200; round++) {
+    if (round % 200 === 0) {
+      const change = buildChange(fleet, holder.believes ?? 0, { version: "9" });
+      void orderEngine(change, holder.context).then(
+        ({ status, detail }) => end = `${status}, ${detail}`,
+        (error: Error) => end = error.message,
+      );
+    }
+    for (const step of fleet.pending.splice(0)) step.run(StepFault.None);
+    for (const one of fleet.instances) one.readLog();
+    if (round % 8 === 7) fleet.engine.advance();
+    await settleMicrotasks();
+    if (end.startsWith("reached")) break;
+    if (round % 2 === 1) await advanceClock(run, 500);
+  }
+  assert.deepEqual(fleet.engine.violations, []);
+  assert(end.startsWith("reached"), `no progress: ${end}`);
+}
--- a/packages/core/src/request/calls/calls.steps.ts
+++ b/packages/core/src/request/calls/calls.steps.ts
@@ -5,12 +5,11 @@
 import type { Refusal } from "../../types/index.ts";
 import { listOpenCalls } from "../../process/calls/index.ts";
 import type { CallAnswer } from "./call_types.ts";
+import { settleMicrotasks, StepFault } from "../../shared/remote_steps.test.ts";
 import {
   type CallInstance,
   type CallWorldState,
   createCallWorld,
-  settleMicrotasks,
-  StepFault,
 } from "./call_world.steps.ts";
 import { runCall } from "./run_call.ts";
 
@@ -60,7 +59,9 @@
 );
 
 Then("the calls match the snapshot", function (this: CallsWorld): void {
-  const reader = this.desk.instances.find((one) => !one.crashed);
+  const reader = this.desk.instances.find((one) =>
+    !this.desk.crashed.has(one.name)
+  );
   reader?.readLog();
   const state = reader?.context.book.stream.getState();
   this.matchSnapshot({
@@ -78,7 +79,7 @@
   row: Readonly<Record<string, string>>,
 ): Promise<void> {
   if (row.instance === "late") {
-    for (const effect of world.desk.late.splice(0)) effect();
+    for (const late of world.desk.late.splice(0)) late.run();
     await runSteps(world, {});
     return;
   }
@@ -120,7 +121,7 @@
       if (hit) fault = undefined;
     }
     for (const instance of desk.instances) {
-      if (!instance.crashed) instance.readLog();
+      if (!desk.crashed.has(instance.name)) instance.readLog();
     }
     await settleMicrotasks();
     if (desk.pending.length === 0) await clock?.tickAsync(200);
--- a/packages/core/src/request/calls/calls_property.steps.ts
+++ b/packages/core/src/request/calls/calls_property.steps.ts
@@ -4,12 +4,8 @@
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
 import fc from "fast-check";
 import { Outcome, RefusalReason } from "../../types/index.ts";
-import {
-  type CallWorldState,
-  createCallWorld,
-  settleMicrotasks,
-  StepFault,
-} from "./call_world.steps.ts";
+import { settleMicrotasks, StepFault } from "../../shared/remote_steps.test.ts";
+import { type CallWorldState, createCallWorld } from "./call_world.steps.ts";
 import { sendCallTo } from "./calls.steps.ts";
 
 const keyCount = 3;
@@ -81,7 +77,7 @@
       sendRandomCall(desk, rest, { told });
       break;
     case 1:
-      desk.late.splice(rest % (desk.late.length || 1), 1)[0]?.();
+      desk.late.splice(rest % (desk.late.length || 1), 1)[0]?.run();
       break;
     case 2:
       await clock.tickAsync(100 + rest % 1_500);
@@ -107,7 +103,7 @@
   choice: number,
   options: { readonly told: Told[] },
 ): void {
-  const live = desk.instances.filter((one) => !one.crashed);
+  const live = desk.instances.filter((one) => !desk.crashed.has(one.name));
   const instance = live[choice % live.length];
   if (!instance) return;
   const key = `k${Math.floor(choice / 8) % keyCount}`;
@@ -130,7 +126,7 @@
 }
 
 function replaceCrashed(desk: CallWorldState): void {
-  const live = desk.instances.filter((one) => !one.crashed);
+  const live = desk.instances.filter((one) => !desk.crashed.has(one.name));
   if (live.length < 3) desk.addInstance(`n${desk.instances.length}`);
 }
 
@@ -163,12 +159,14 @@
   clock: PausedClock,
 ): Promise<void> {
   desk.listInstances = () =>
-    desk.instances.filter((one) => !one.crashed).map((one) => one.name);
+    desk.instances.filter((one) => !desk.crashed.has(one.name)).map((one) =>
+      one.name
+    );
   for (let round = 0; round < 40; round++) {
-    for (const effect of desk.late.splice(0)) effect();
+    for (const late of desk.late.splice(0)) late.run();
     for (const step of desk.pending.splice(0)) step.run(StepFault.None);
     for (const instance of desk.instances) {
-      if (!instance.crashed) instance.readLog();
+      if (!desk.crashed.has(instance.name)) instance.readLog();
     }
     await settleMicrotasks();
     if (round % 4 === 3) await clock.tickAsync(1_000);
