Add the operators' command line

Operators change the fleet only by signed bundles on the log, so the command line follows the control stream with the same client and fold as the daemons: an append is settled by reading back, a lost race names the winner and the way on, and every failure says whether anything was changed. Exit codes: 1 service, 2 input, 3 refused by the fleet. Every view has tables and JSON; keys go into files of mode 600 and are never printed.

--- a/packages/core/src/process/burn/index.ts
+++ b/packages/core/src/process/burn/index.ts
@@ -2,6 +2,7 @@
 export * from "./burn_counters.ts";
 export * from "./burn_gaps.ts";
 export * from "./burn_names.ts";
+export * from "./burn_series.ts";
 export * from "./compute_burn.ts";
 export * from "./events.ts";
 export * from "./keep_burn.ts";
--- a/packages/core/src/version/bundle/sign_bundle.ts
+++ b/packages/core/src/version/bundle/sign_bundle.ts
@@ -68,9 +68,22 @@
   }
 }
 
-/** Derives the public key, in base64, from a private one. */
+/** Derives the public key, in base64, from a private one; throws on no key. */
 export function getPublicKey(privateKey: string): string {
-  const key = createPublicKey(readPrivateKey(privateKey));
+  return formatPublicKey(createPublicKey(readPrivateKey(privateKey)));
+}
+
+/** Says whether two public keys, in PEM or base64, are the same. */
+export function isSamePublicKey(left: string, right: string): boolean {
+  try {
+    return formatPublicKey(readPublicKey(left)) ===
+      formatPublicKey(readPublicKey(right));
+  } catch {
+    return false;
+  }
+}
+
+function formatPublicKey(key: KeyObject): string {
   return key.export({ type: "spki", format: "der" }).toString("base64");
 }
 
--- /dev/null
+++ b/packages/ctl/bin/trefoildoorctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
