--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,2 @@
 /** Public parts of this package. */
-export {};
+export * from "./connection/peers/index.ts";
--- /dev/null
+++ b/packages/standins/src/experiment/experiment.ts
@@ -0,0 +1,43 @@
+/** What an experiment is, and what it reports. */
+
+/** Settings of one run of the experiment tool. */
+export interface ExperimentOptions {
+  /** Name of one policy; all of the experiment's where absent. */
+  readonly policy: string | undefined;
+  /** Seeds to run, 1 to this number. */
+  readonly seeds: number;
+}
+
+/** A table of results. */
+export interface ReportTable {
+  readonly title: string;
+  readonly columns: readonly string[];
+  readonly rows: readonly (readonly string[])[];
+}
+
+/** A plot as a Vega-Lite specification. */
+export interface ReportPlot {
+  /** File name without its ending. */
+  readonly name: string;
+  readonly title: string;
+  readonly specification: Readonly<Record<string, unknown>>;
+}
+
+/** Results of an experiment. */
+export interface ExperimentReport {
+  readonly title: string;
+  /** Sentences on what was run and what it shows. */
+  readonly notes: readonly string[];
+  readonly tables: readonly ReportTable[];
+  readonly plots: readonly ReportPlot[];
+  /** Raw figures, for `--json`. */
+  readonly data: unknown;
+}
+
+/** An experiment by name. */
+export interface Experiment {
+  readonly name: string;
+  readonly describe: string;
+  readonly defaultSeeds: number;
+  readonly run: (options: ExperimentOptions) => Promise<ExperimentReport>;
+}
