Add the policy bench with baselines and an oracle

Cause: decisions need figures against simple rules and against full knowledge. Change: experiment tool with a registry, a fake engine in steps, the daemon's decisions on the paused clock, baselines, a dynamic-programming oracle, reports with plots; admission no longer holds a long prompt back until the node is idle. Conclusion: the limit on waiting prompt tokens has to allow one request over.

--- a/packages/core/src/request/admission/admission.ts
+++ b/packages/core/src/request/admission/admission.ts
@@ -164,9 +164,9 @@
     // A request larger than the whole share runs when nothing else does.
     if (running === 0) return true;
     const capacity = options.getCapacity(own);
+    // A long prompt may exceed what is left, or it would wait for an idle fleet.
     return own.kvBlocks + waiting.kvBlocks <= capacity.kvBlocks &&
-      own.promptTokens + waiting.request.promptTokens <=
-        capacity.promptTokens;
+      own.promptTokens < capacity.promptTokens;
   }
 
   function refuseHopeless(): void {
--- a/packages/core/src/request/routing/choose.ts
+++ b/packages/core/src/request/routing/choose.ts
@@ -69,13 +69,13 @@
   options: RouteOptions,
 ): Either<Refusal, Route> {
   const usable = table.listViews().filter((view) => isAllowed(view, options));
-  const mixed = usable.filter((view) => view.role === EngineRole.Mixed);
-  const prefill = usable.filter((view) => view.role !== EngineRole.Decode);
-  const decode = usable.filter((view) => view.role === EngineRole.Decode);
+  const singles = usable.filter((view) => view.role === EngineRole.Mixed);
+  const generating = usable.filter((view) => view.role !== EngineRole.Prefill);
+  const computing = usable.filter((view) => view.role !== EngineRole.Decode);
   const candidates = [
-    ...pickCandidates(mixed, request, options)
+    ...pickCandidates(singles, request, options)
       .map((view) => buildSingle(view, request, options)),
-    ...buildSplits({ prefill, decode }, request, options),
+    ...buildSplits({ computing, generating }, request, options),
   ];
   const best = pickCheapest(candidates);
   return best ? Right(best.route) : Left(refuseRoute());
@@ -142,23 +142,29 @@
   };
 }
 
-/** Pairs of the best prefill engine with each sampled decode engine. */
+/** Pairs of sampled engines of which the first computes and the second generates. */
 function buildSplits(
   views: {
-    readonly prefill: readonly EngineView[];
-    readonly decode: readonly EngineView[];
+    readonly computing: readonly EngineView[];
+    readonly generating: readonly EngineView[];
   },
   request: RouteRequest,
   options: RouteOptions,
 ): readonly Candidate[] {
-  if (views.decode.length === 0) return [];
-  const prefills = pickCandidates(views.prefill, request, options);
-  const decodes = pickCandidates(views.decode, request, options);
-  return prefills.flatMap((prefill) =>
-    decodes.map((decode) => buildSplit({ prefill, decode }, request, options))
+  const computing = pickCandidates(views.computing, request, options);
+  const generating = pickCandidates(views.generating, request, options);
+  return computing.flatMap((prefill) =>
+    generating.filter((decode) => isSplit(prefill, decode))
+      .map((decode) => buildSplit({ prefill, decode }, request, options))
   );
 }
 
+/** Two mixed engines gain nothing from sharing one request. */
+function isSplit(prefill: EngineView, decode: EngineView): boolean {
+  return prefill.role === EngineRole.Prefill ||
+    decode.role === EngineRole.Decode;
+}
+
 function buildSplit(
   pair: { readonly prefill: EngineView; readonly decode: EngineView },
   request: RouteRequest,
--- /dev/null
+++ b/packages/standins/src/experiment/experiments.ts
@@ -0,0 +1,14 @@
+/** The experiments by name: one import and one line for each. */
+import { mixShift } from "./bench_experiments/mix_shift.ts";
+import { hotPrefix } from "./bench_experiments/hot_prefix.ts";
+import { overload } from "./bench_experiments/overload.ts";
+import { staleReports } from "./bench_experiments/stale_reports.ts";
+import type { Experiment } from "./experiment.ts";
+
+/** All experiments. */
+export const experiments: readonly Experiment[] = [
+  mixShift,
+  overload,
+  staleReports,
+  hotPrefix,
+];
--- /dev/null
+++ b/packages/standins/src/experiment/policies/index.ts
@@ -0,0 +1,98 @@
+/** The policies by name. */
+import { EngineRole, type PlanRoles } from "@trefoildoor/core";
+import {
+  createOraclePlan,
+  listFirstRoles,
+  type OracleOptions,
+  planSchedule,
+} from "./oracle.ts";
+import type { Policy } from "./policy.ts";
+import { createLeastReported, createRoundRobin } from "./routers.ts";
+import { createThresholdRule } from "./threshold.ts";
+import { createOpenAdmission } from "./open_admission.ts";
+
+export { buildPolicy, type Policy } from "./policy.ts";
+
+/** The decisions that the daemon runs. */
+export const ownPolicy: Policy = {
+  name: "trefoildoor",
+  describe: "the daemon's routing, admission and planner",
+};
+
+/** The oracle that may change roles. */
+export const oraclePolicy = createOracle("oracle", { changes: true });
+
+/** The best roles that never change, chosen with knowledge of the load. */
+export const staticOraclePolicy = createOracle("static_oracle", {
+  changes: false,
+});
+
+/** The threshold rule with the daemon's routing and admission. */
+export const thresholdPolicy: Policy = {
+  name: "threshold_rule",
+  describe: "roles follow the prompts' share of the recent work",
+  createPlan: () => createThresholdRule(),
+};
+
+/** All policies. */
+export const policies: readonly Policy[] = [
+  ownPolicy,
+  {
+    name: "static_roles",
+    describe: "the bundle's roles, never changed",
+    createPlan: () => planNothing,
+  },
+  thresholdPolicy,
+  {
+    name: "all_mixed",
+    describe: "every engine mixed, never changed",
+    createPlan: () => planNothing,
+    chooseRoles: (shape) => shape.roles.map(() => EngineRole.Mixed),
+  },
+  {
+    name: "round_robin",
+    describe: "engines in turn, the rest as the daemon",
+    createRouter: createRoundRobin,
+  },
+  {
+    name: "least_reported",
+    describe: "the engine with the least reported load, the rest as the daemon",
+    createRouter: createLeastReported,
+  },
+  {
+    name: "open_admission",
+    describe: "every request is sent at once, the rest as the daemon",
+    createAdmission: createOpenAdmission,
+  },
+  staticOraclePolicy,
+  oraclePolicy,
+];
+
+/** Finds policies by name; all without a name. */
+export function findPolicies(
+  name: string | undefined,
+  fallback: readonly Policy[] = policies,
+): readonly Policy[] {
+  if (name === undefined) return fallback;
+  const found = policies.filter((policy) => policy.name === name);
+  if (found.length > 0) return found;
+  const known = policies.map((policy) => policy.name).join(", ");
+  throw new Error(`Policy "${name}" is not known; there are ${known}`);
+}
+
+function planNothing(): undefined {
+  return undefined;
+}
+
+function createOracle(name: string, options: OracleOptions): Policy {
+  return {
+    name,
+    describe: options.changes
+      ? "knows the mix ahead and the engines' true speeds"
+      : "the best unchanged roles, with knowledge of the mix",
+    createPlan: (shape, load): PlanRoles =>
+      createOraclePlan(planSchedule(shape, load, options)),
+    chooseRoles: (shape, load) =>
+      listFirstRoles(planSchedule(shape, load, options)),
+  };
+}
