Bound what runs at once by what engines ran while others queued

Change: the table learns each engine's batch limit from reports with a queue; admission holds requests above it.

--- a/packages/core/src/request/admission/admission.steps.ts
+++ b/packages/core/src/request/admission/admission.steps.ts
@@ -26,7 +26,7 @@
 }
 
 const propertyRun = { seed: 5_021, numRuns: 200 };
-const roomForOne = { kvBlocks: 1, promptTokens: 10_000 };
+const roomForOne = { kvBlocks: 1, promptTokens: 10_000, requests: 1 };
 
 After(function (this: AdmissionWorld): void {
   this.clock?.uninstall();
@@ -149,13 +149,13 @@
 Then(
   "at most {int} wait and each of the others was refused with a time to come back",
   function (this: AdmissionWorld, maxWaiting: number): void {
-    const { waiting, running } = this.admission.getState();
+    const { waiting, own } = this.admission.getState();
     const refusals = this.answers.flatMap((answer) =>
       answer.swap().toMaybe().toList()
     );
-    assert.equal(running, 1);
+    assert.equal(own.requests, 1);
     assert.ok(waiting > 0 && waiting <= maxWaiting);
-    assert.equal(refusals.length, 20 - waiting - running);
+    assert.equal(refusals.length, 20 - waiting - own.requests);
     assert.ok(refusals.every((refusal) => (refusal.retryAfterMs ?? 0) > 0));
     this.admission.stop();
   },
@@ -243,7 +243,7 @@
 async function checkHeld(actions: readonly string[]): Promise<void> {
   const world = { answers: [] } as unknown as AdmissionWorld;
   world.admission = createAdmission({
-    getCapacity: () => ({ kvBlocks: 5, promptTokens: 1_000 }),
+    getCapacity: () => ({ kvBlocks: 5, promptTokens: 1_000, requests: 4 }),
   });
   function closeFirst(): void {
     world.answers.shift()?.ifRight((ticket) => {
@@ -258,15 +258,15 @@
     }
     if (action === "end") closeFirst();
     await Promise.resolve();
-    const { kvBlocks } = world.admission.getState().own;
-    assert.ok(kvBlocks <= 5);
+    const { kvBlocks, requests } = world.admission.getState().own;
+    assert.ok(kvBlocks <= 5 && requests <= 4);
   }
   world.admission.stop();
   await waitForTurn();
   while (world.answers.length > 0) closeFirst();
-  const { own, running, waiting } = world.admission.getState();
+  const { own, waiting } = world.admission.getState();
   assert.deepEqual(
-    { ...own, running, waiting },
-    { kvBlocks: 0, promptTokens: 0, running: 0, waiting: 0 },
+    { ...own, waiting },
+    { kvBlocks: 0, promptTokens: 0, requests: 0, waiting: 0 },
   );
 }
--- a/packages/core/src/request/admission/admission.ts
+++ b/packages/core/src/request/admission/admission.ts
@@ -51,7 +51,6 @@
 /** Counters of one instance's admission. */
 export interface AdmissionState {
   readonly waiting: number;
-  readonly running: number;
   readonly own: AdmissionUse;
 }
 
@@ -100,8 +99,7 @@
   const times = createServiceTimes();
   const speed = createServiceRate();
   const maxWaiting = options.maxWaiting ?? defaultMaxWaiting;
-  const own = { kvBlocks: 0, promptTokens: 0 };
-  let running = 0;
+  const own = { kvBlocks: 0, promptTokens: 0, requests: 0 };
   let stopped = false;
   let timer: NodeJS.Timeout | undefined;
 
@@ -112,7 +110,7 @@
   function admit(waiting: Waiting): void {
     queue.pick(waiting);
     speed.noteStarted(waiting.cost);
-    running += 1;
+    own.requests += 1;
     own.kvBlocks += waiting.kvBlocks;
     own.promptTokens += waiting.request.promptTokens;
     waiting.answer(Right(openTicket(waiting)));
@@ -136,7 +134,7 @@
       close(result): void {
         if (closed) return;
         closed = true;
-        running -= 1;
+        own.requests -= 1;
         speed.noteEnded(waiting.cost, performance.now() - admittedMs);
         own.kvBlocks -= waiting.kvBlocks;
         if (firstTokenMs === undefined) {
@@ -165,11 +163,12 @@
 
   function hasRoom(waiting: Waiting): boolean {
     // A request larger than the whole share runs when nothing else does.
-    if (running === 0) return true;
+    if (own.requests === 0) return true;
     const capacity = options.getCapacity(own);
     // A long prompt may exceed what is left, or it would wait for an idle fleet.
     return own.kvBlocks + waiting.kvBlocks <= capacity.kvBlocks &&
-      own.promptTokens < capacity.promptTokens;
+      own.promptTokens < capacity.promptTokens &&
+      own.requests < capacity.requests;
   }
 
   function refuseHopeless(): void {
@@ -247,7 +246,7 @@
       );
     },
     estimateTokens: lengths.estimate,
-    getState: () => ({ waiting: queue.getSize(), running, own: { ...own } }),
+    getState: () => ({ waiting: queue.getSize(), own: { ...own } }),
     stop(): void {
       stopped = true;
       clearTimeout(timer);
--- a/packages/core/src/request/admission/capacity.ts
+++ b/packages/core/src/request/admission/capacity.ts
@@ -12,16 +12,21 @@
   readonly kvBlocks: number;
   /** Prompt tokens that may wait for their first token. */
   readonly promptTokens: number;
+  /** Requests that may run at once. */
+  readonly requests: number;
 }
 
 /** What an instance has in flight. */
 export interface AdmissionUse {
   readonly kvBlocks: number;
   readonly promptTokens: number;
+  readonly requests: number;
 }
 
 /** Time's worth of prompts that may wait at the engines. */
 const engineQueueMs = 600;
+/** Requests that may queue at an engine for each that runs. */
+const queuedShare = 0.1;
 /** Share of what is free that one instance takes, times the count of instances. */
 const freeShare = 2;
 const unknownBlocks = 64;
@@ -50,8 +55,20 @@
     computing,
     (view) => view.prefillSpeed * view.startShare * engineQueueMs / msPerSecond,
   );
+  const limit = sumOf(
+    generating,
+    (view) => view.batchLimit * (1 + queuedShare),
+  );
+  const present = sumOf(
+    generating,
+    (view) => (view.report?.running ?? 0) + (view.report?.queued ?? 0),
+  );
   const backlog = sumOf(computing, estimateBacklogTokens);
   return {
+    requests: computeShare(limit, present, {
+      instances: options.instances,
+      own: options.own.requests,
+    }),
     kvBlocks: computeShare(blocks, usedBlocks, {
       instances: options.instances,
       own: options.own.kvBlocks,
--- a/packages/core/src/request/routing/table.ts
+++ b/packages/core/src/request/routing/table.ts
@@ -59,6 +59,8 @@
   /** Speeds learnt from reports, in tokens per second. */
   readonly prefillSpeed: number;
   readonly decodeSpeed: number;
+  /** Requests that the engine runs at once before others queue; infinite until seen. */
+  readonly batchLimit: number;
   /** Share of full load that a freshly started engine takes, 0 to 1. */
   readonly startShare: number;
   /** Takes new work: no flag is against it. */
@@ -97,6 +99,7 @@
 const slowStartMs = 10_000;
 const leastStartShare = 0.2;
 const rateWindowMs = 5_000;
+const batchLimitRise = 1.03;
 const maxOwnPrefixes = 512;
 
 interface Moment {
@@ -121,6 +124,7 @@
   reported: ReadonlySet<string>;
   prefillSpeed: number;
   decodeSpeed: number;
+  batchLimit: number;
   readonly startIds: Set<string>;
   readonly work: Set<OwnWork>;
   /** Work sent after the report's figures. */
@@ -179,6 +183,7 @@
       othersUnreportedTokens: othersPerMs * lagMs,
       prefillSpeed: entry.prefillSpeed,
       decodeSpeed: entry.decodeSpeed,
+      batchLimit: entry.batchLimit,
       startShare: computeStartShare(nowMs - entry.startedMs),
       usable: !draining && !leaving && !silent && !changing &&
         !entry.report?.changing,
@@ -235,6 +240,7 @@
     reported: new Set(),
     prefillSpeed: defaultPrefillSpeed,
     decodeSpeed: defaultDecodeSpeed,
+    batchLimit: Infinity,
     startIds: new Set(),
     work: new Set(),
     unreported: new Set(),
@@ -270,6 +276,9 @@
     if (work.sentMs < entry.figuresMs) entry.unreported.delete(work);
   }
   entry.reported = new Set(report.cachedPrefixes);
+  entry.batchLimit = roleChanged
+    ? Infinity
+    : computeBatchLimit(entry.batchLimit, report);
   const keep = roleChanged ? 0 : speedDecay;
   if (report.prefillTokensPerSecond > 0) {
     entry.prefillSpeed = Math.max(
@@ -285,6 +294,12 @@
   }
 }
 
+/** What ran while others queued; without a queue the limit rises slowly. */
+function computeBatchLimit(known: number, report: LoadReport): number {
+  if (report.queued > 0) return Math.max(report.running, 1);
+  return Math.max(known * batchLimitRise, report.running);
+}
+
 function openTicket(
   entry: EngineEntry,
   size: WorkSize & { readonly tokens: number },
--- a/packages/standins/src/experiment/policies/open_admission.ts
+++ b/packages/standins/src/experiment/policies/open_admission.ts
@@ -8,7 +8,11 @@
   _instances: number,
 ): Admission {
   const admission = createAdmission({
-    getCapacity: () => ({ kvBlocks: Infinity, promptTokens: Infinity }),
+    getCapacity: () => ({
+      kvBlocks: Infinity,
+      promptTokens: Infinity,
+      requests: Infinity,
+    }),
   });
   return {
     ...admission,
--- a/packages/standins/src/experiment/scenarios.ts
+++ b/packages/standins/src/experiment/scenarios.ts
@@ -66,8 +66,8 @@
       sharedPrefixes: 1,
     },
   ],
-  long: { requestsPerSecond: 7.5, weights: [70, 15, 15] },
-  short: { requestsPerSecond: 21, weights: [5, 75, 20] },
+  long: { requestsPerSecond: 8, weights: [70, 15, 15] },
+  short: { requestsPerSecond: 23.5, weights: [5, 75, 20] },
 };
 
 /** The rental association: each role change counts. */
@@ -114,8 +114,8 @@
       sharedPrefixes: 1,
     },
   ],
-  long: { requestsPerSecond: 6.5, weights: [60, 30, 10] },
-  short: { requestsPerSecond: 26, weights: [2, 13, 85] },
+  long: { requestsPerSecond: 6.8, weights: [60, 30, 10] },
+  short: { requestsPerSecond: 28, weights: [2, 13, 85] },
 };
 
 /** Both fleets, or the one of the name. */
