--- a/packages/core/src/request/admission/admission.ts
+++ b/packages/core/src/request/admission/admission.ts
@@ -16,6 +16,7 @@
   createLengthEstimator,
   createServiceRate,
   createServiceTimes,
+  type ServiceTimes,
 } from "./lengths.ts";
 import { createFairQueue, type QueuedWork } from "./queue.ts";
 
@@ -96,7 +97,11 @@
 export function createAdmission(options: AdmissionOptions): Admission {
   const queue = createFairQueue<Waiting>();
   const lengths = createLengthEstimator();
-  const times = createServiceTimes();
+  const times: Readonly<Record<Priority, ServiceTimes>> = {
+    [Priority.Batch]: createServiceTimes(),
+    [Priority.Normal]: createServiceTimes(),
+    [Priority.Interactive]: createServiceTimes(),
+  };
   const speed = createServiceRate();
   const maxWaiting = options.maxWaiting ?? defaultMaxWaiting;
   const own = { kvBlocks: 0, promptTokens: 0, requests: 0 };
@@ -124,7 +129,7 @@
       if (firstTokenMs !== undefined || closed) return;
       firstTokenMs = performance.now();
       own.promptTokens -= waiting.request.promptTokens;
-      times.learnFirstToken(firstTokenMs - admittedMs);
+      times[waiting.priority].learnFirstToken(firstTokenMs - admittedMs);
       advanceQueue();
     }
     return {
@@ -141,7 +146,7 @@
           own.promptTokens -= waiting.request.promptTokens;
         } else {
           const ms = performance.now() - firstTokenMs;
-          times.learnTokens(ms, result.outputTokens - 1);
+          times[waiting.priority].learnTokens(ms, result.outputTokens - 1);
         }
         if (result.outputTokens > 0) {
           lengths.learn(waiting.caller, result.outputTokens);
@@ -177,7 +182,9 @@
     let ahead = 0;
     for (const waiting of queue.list()) {
       const waitMs = rate > 0 ? ahead / rate : Infinity;
-      const serviceMs = times.estimate(waiting.expectedTokens);
+      const serviceMs = times[waiting.priority].estimate(
+        waiting.expectedTokens,
+      );
       const leftMs = (waiting.deadlineAtMs - nowMs) * usableSlack;
       const lateMs = waitMs + serviceMs - leftMs;
       if (lateMs > 0) refuse(waiting, buildOverload(lateMs));
--- a/packages/core/src/request/routing/choose.ts
+++ b/packages/core/src/request/routing/choose.ts
@@ -12,6 +12,7 @@
 import {
   countCachedTokens,
   estimateBacklogTokens,
+  estimateInterferenceMs,
   estimateMemoryWaitMs,
   estimatePrefillMs,
   estimateTokenMs,
@@ -138,7 +139,7 @@
       cachedTokens: countCachedTokens(view, request),
     },
     cost: firstTokenMs + linkMs * linkCostFactor +
-      tokenMs * request.expectedTokens,
+      tokenMs * request.expectedTokens + estimateInterferenceMs(view, request),
   };
 }
 
@@ -179,6 +180,9 @@
     estimateLinkMs(options.ownDomain, prefill, options) + transferMs +
     estimatePrefillMs(prefill, request) +
     estimateMemoryWaitMs(decode, request);
+  const interferenceMs = prefill.role === EngineRole.Mixed
+    ? estimateInterferenceMs(prefill, request)
+    : 0;
   const tokenMs = estimateTokenMs(decode);
   return {
     route: {
@@ -189,7 +193,7 @@
       cachedTokens: countCachedTokens(prefill, request),
     },
     cost: firstTokenMs + linkMs * linkCostFactor +
-      tokenMs * request.expectedTokens,
+      tokenMs * request.expectedTokens + interferenceMs,
   };
 }
 
--- a/packages/core/src/request/routing/estimate.ts
+++ b/packages/core/src/request/routing/estimate.ts
@@ -10,6 +10,12 @@
   readonly prefixes: readonly string[];
 }
 
+/** Part of the batch limit up to which prompts cost the others nothing. */
+const freeFullness = 0.7;
+/** Part of a prompt's time by which each other answer is delayed. */
+const interferenceShare = 0.1;
+/** Time between tokens of an engine with nothing else to do. */
+const idleTokenMs = 20;
 const msPerSecond = 1_000;
 
 /** Prompt tokens whose KV cache the engine probably holds. */
@@ -77,10 +83,30 @@
   return request.expectedTokens * estimateTokenMs(view);
 }
 
+/**
+ * Generating time that computing the prompt costs the engine's other requests,
+ * in ms. It counts only as far as the engine has no room to generate more.
+ */
+export function estimateInterferenceMs(
+  view: EngineView,
+  request: RouteRequest,
+): number {
+  const running = view.report?.running ?? 0;
+  const fullness = running / view.batchLimit;
+  const pressure = Math.min(
+    Math.max((fullness - freeFullness) / (1 - freeFullness), 0),
+    1,
+  );
+  const tokens = request.promptTokens - countCachedTokens(view, request);
+  const prefillMs = tokens * msPerSecond / view.prefillSpeed;
+  return pressure * running * prefillMs * interferenceShare;
+}
+
 /** Time between two tokens of one answer, in ms. */
 export function estimateTokenMs(view: EngineView): number {
-  const running = Math.max(view.report?.running ?? 0, 1);
-  return running * msPerSecond / view.decodeSpeed;
+  const running = view.report?.running ?? 0;
+  if (running === 0) return idleTokenMs;
+  return Math.max(running * msPerSecond / view.decodeSpeed, idleTokenMs);
 }
 
 function estimateQueueMs(view: EngineView): number {
--- a/packages/core/src/request/routing/table.ts
+++ b/packages/core/src/request/routing/table.ts
@@ -95,7 +95,7 @@
 
 const defaultPrefillSpeed = 8_000;
 const defaultDecodeSpeed = 1_000;
-const speedDecay = 0.98;
+const speedLearningRate = 0.3;
 const slowStartMs = 10_000;
 const leastStartShare = 0.2;
 const rateWindowMs = 5_000;
@@ -279,19 +279,21 @@
   entry.batchLimit = roleChanged
     ? Infinity
     : computeBatchLimit(entry.batchLimit, report);
-  const keep = roleChanged ? 0 : speedDecay;
-  if (report.prefillTokensPerSecond > 0) {
-    entry.prefillSpeed = Math.max(
-      report.prefillTokensPerSecond,
-      entry.prefillSpeed * keep,
-    );
-  }
-  if (report.decodeTokensPerSecond > 0) {
-    entry.decodeSpeed = Math.max(
-      report.decodeTokensPerSecond,
-      entry.decodeSpeed * keep,
-    );
-  }
+  entry.prefillSpeed = learnSpeed(
+    roleChanged ? 0 : entry.prefillSpeed,
+    report.prefillTokensPerSecond,
+  ) || entry.prefillSpeed;
+  entry.decodeSpeed = learnSpeed(
+    roleChanged ? 0 : entry.decodeSpeed,
+    report.decodeTokensPerSecond,
+  ) || entry.decodeSpeed;
+}
+
+/** Follows the reported speeds; an engine without such work reports none. */
+function learnSpeed(known: number, reported: number): number {
+  if (reported <= 0) return known;
+  if (known === 0) return reported;
+  return known + (reported - known) * speedLearningRate;
 }
 
 /** What ran while others queued; without a queue the limit rises slowly. */
--- a/packages/standins/src/experiment/bench_experiments/run_policies.ts
+++ b/packages/standins/src/experiment/bench_experiments/run_policies.ts
@@ -15,7 +15,8 @@
   },
 ): Promise<readonly PolicyRuns[]> {
   const results: PolicyRuns[] = [];
-  for (const policy of policies) {
+  for (const each of policies) {
+    const policy = await each.prepare?.(shape) ?? each;
     const runs = [];
     for (let seed = 1; seed <= options.seeds; seed++) {
       const load = options.generate(seed);
--- a/packages/standins/src/experiment/policies/index.ts
+++ b/packages/standins/src/experiment/policies/index.ts
@@ -9,6 +9,7 @@
 import type { Policy } from "./policy.ts";
 import { createLeastReported, createRoundRobin } from "./routers.ts";
 import { createThresholdRule } from "./threshold.ts";
+import { measureYields } from "./yields.ts";
 import { createOpenAdmission } from "./open_admission.ts";
 
 export { buildPolicy, type Policy } from "./policy.ts";
@@ -86,15 +87,28 @@
   return undefined;
 }
 
-function createOracle(name: string, options: OracleOptions): Policy {
+/** An oracle that measures what each set of roles yields before it plans. */
+function createOracle(
+  name: string,
+  options: Pick<OracleOptions, "changes">,
+): Policy {
+  const describe = options.changes
+    ? "knows the mix ahead and what each set of roles yields"
+    : "the best unchanged roles, with knowledge of the mix";
   return {
     name,
-    describe: options.changes
-      ? "knows the mix ahead and the engines' true speeds"
-      : "the best unchanged roles, with knowledge of the mix",
-    createPlan: (shape, load): PlanRoles =>
-      createOraclePlan(planSchedule(shape, load, options)),
-    chooseRoles: (shape, load) =>
-      listFirstRoles(planSchedule(shape, load, options)),
+    describe,
+    prepare: async (shape) => {
+      const yields = await measureYields(shape);
+      const knowledge = { ...options, yields };
+      return {
+        name,
+        describe,
+        createPlan: (fleet, load): PlanRoles =>
+          createOraclePlan(planSchedule(fleet, load, knowledge)),
+        chooseRoles: (fleet, load) =>
+          listFirstRoles(planSchedule(fleet, load, knowledge)),
+      };
+    },
   };
 }
--- a/packages/standins/src/experiment/policies/oracle.ts
+++ b/packages/standins/src/experiment/policies/oracle.ts
@@ -1,25 +1,26 @@
 /**
- * The oracle: knows all phases of the load and the engines' true speeds, and
- * finds the best schedule of roles by dynamic programming over time slots.
+ * The oracle: knows all phases of the load and what every set of roles yields
+ * under each of them, and finds the best schedule of roles by dynamic
+ * programming over time slots.
  */
 import {
-  computeServed,
   EngineRole,
-  type Mix,
   type PlannerInput,
   type PlanRoles,
   type RoleChange,
   type RoleCounts,
 } from "@trefoildoor/core";
 import type { FleetShape } from "../bench/fleet_shape.ts";
-import type { Load } from "../bench/load.ts";
+import type { Load, Phase } from "../bench/load.ts";
 import { buildRoles } from "../bench/fleet_shape.ts";
-import { computeTrueMix, computeTrueSpeeds } from "./engine_speeds.ts";
+import { listRoleSets, type RoleYields } from "./yields.ts";
 
 /** Freedom of the schedule. */
 export interface OracleOptions {
   /** Whether roles may change after the start. */
   readonly changes: boolean;
+  /** Useful answers per second of each set of roles under each mix. */
+  readonly yields: RoleYields;
 }
 
 /** A schedule: the roles that hold in each slot. */
@@ -44,13 +45,15 @@
   load: Load,
   options: OracleOptions,
 ): Schedule {
-  const states = listStates(shape.roles.length);
-  const mixes = listMixes(load);
+  const states = listRoleSets(shape.roles.length);
+  const phases = listSlots(load);
   const steps: Step[][] = [];
-  for (const [slot, mix] of mixes.entries()) {
+  for (const [slot, phase] of phases.entries()) {
     const before = steps[slot - 1];
+    const getAnswers = (counts: RoleCounts): number =>
+      options.yields(phase, counts) * slotMs / msPerSecond;
     steps.push(states.map((state, index) => {
-      const staying = computeAnswers(shape, { mix, counts: state });
+      const staying = getAnswers(state);
       if (!before) return { value: staying, previous: index };
       const choices = states.map((from, previous) => ({
         previous,
@@ -58,7 +61,7 @@
           (previous === index
             ? staying
             : options.changes && isOneChange(from, state)
-            ? computeAnswers(shape, { mix, counts: pickCommon(from, state) }) -
+            ? getAnswers(pickCommon(from, state)) -
               changeCost
             : -Infinity),
       }));
@@ -112,40 +115,15 @@
   return engine && { engine: engine.name, role: to.role, gain: 0 };
 }
 
-function listStates(engines: number): readonly RoleCounts[] {
-  const states: RoleCounts[] = [];
-  for (let prefill = 0; prefill <= engines; prefill++) {
-    for (let decode = 0; decode <= engines - prefill; decode++) {
-      const mixed = engines - prefill - decode;
-      if (prefill + mixed === 0 || decode + mixed === 0) continue;
-      states.push({
-        [EngineRole.Prefill]: prefill,
-        [EngineRole.Decode]: decode,
-        [EngineRole.Mixed]: mixed,
-      });
-    }
-  }
-  return states;
-}
-
-/** Mix of each slot, by the phase that holds in its middle. */
-function listMixes(load: Load): readonly Mix[] {
+/** Phase of each slot: the one that holds in its middle. */
+function listSlots(load: Load): readonly Phase[] {
   const endMs = load.phases.at(-1)?.toMs ?? 0;
-  const mixes: Mix[] = [];
+  const phases: Phase[] = [];
   for (let atMs = slotMs / 2; atMs < endMs; atMs += slotMs) {
     const phase = load.phases.find((each) => atMs < each.toMs);
-    if (phase) mixes.push(computeTrueMix(load.kinds, phase));
+    if (phase) phases.push(phase);
   }
-  return mixes;
-}
-
-function computeAnswers(
-  shape: FleetShape,
-  state: { readonly mix: Mix; readonly counts: RoleCounts },
-): number {
-  const { mix, counts } = state;
-  const speeds = computeTrueSpeeds(shape.figures, mix);
-  return computeServed(mix, { counts, speeds }) * slotMs / msPerSecond;
+  return phases;
 }
 
 function isOneChange(from: RoleCounts, to: RoleCounts): boolean {
--- a/packages/standins/src/experiment/policies/policy.ts
+++ b/packages/standins/src/experiment/policies/policy.ts
@@ -25,6 +25,8 @@
 export interface Policy {
   readonly name: string;
   readonly describe: string;
+  /** Measures what the policy may know of a fleet, and returns the policy that knows it. */
+  readonly prepare?: (shape: FleetShape) => Promise<Policy>;
   readonly createRouter?: () => Router;
   readonly createAdmission?: CreateAdmission;
   readonly createPlan?: (shape: FleetShape, load: Load) => PlanRoles;
--- a/packages/standins/src/experiment/scenarios.ts
+++ b/packages/standins/src/experiment/scenarios.ts
@@ -13,7 +13,7 @@
   msPerSequence: 0.25,
   msPerPromptToken: 0.1,
   maxBatch: 64,
-  mixedChunkTokens: 256,
+  mixedChunkTokens: 128,
   prefillChunkTokens: 4_096,
   kvBlocks: 200,
   cacheBlocks: 60,
