Serve the whole path with membership, endpoint watch, drains and counters

Cause: the daemon polled endpoints and list in its own way, counted a request at its engine only after the choice, and lost the last service-level summary. Change: the daemon uses the library's membership and endpoint tasks, counts a request from the choice on, so that a confirmed drain holds, and ends its tasks before its streams.

--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -14,6 +14,7 @@
 import {
   chooseRoute,
   type EndpointTable,
+  type Route,
   type RouteRequest,
 } from "../routing/index.ts";
 import { type Suspects, SuspectVerdict } from "../suspects/index.ts";
@@ -112,7 +113,7 @@
       exclude,
       ownDomain: context.ownDomain,
       getDelayMs: version.getDelayMs,
-    });
+    }).map((route) => reserveRoute(route, call, { context }));
   if (verdict === SuspectVerdict.Alone) {
     return await chooseTrial(call, context, { choose, excluded });
   }
@@ -121,6 +122,21 @@
   return route;
 }
 
+/** Counts the request at its engines without a gap after their choice, which drains rely on. */
+function reserveRoute(
+  route: Route,
+  call: CompletionCall,
+  { context }: { readonly context: CompletionContext },
+): CompletionRoute {
+  const engines = route.prefillOn === undefined
+    ? [route.engine]
+    : [route.engine, route.prefillOn];
+  const removals = engines.map((engine) =>
+    context.inFlight.add(engine, call.digest)
+  );
+  return { ...route, release: () => removals.forEach((remove) => remove()) };
+}
+
 /** Finds an engine on which a suspect request is the only suspect. */
 async function chooseTrial(
   call: CompletionCall,
@@ -144,8 +160,10 @@
         return Right({ ...chosen, prefillOn: undefined });
       }
       context.suspects.closeTrial(call.digest);
+      chosen.release();
       return Left(refuseTrial());
     }
+    chosen.release();
     tried.add(chosen.engine);
   }
 }
@@ -189,11 +207,6 @@
       expectedTokens: 0,
       prefixes,
     });
-  const removals = [
-    route.engine,
-    ...route.prefillOn === undefined ? [] : [route.prefillOn],
-  ]
-    .map((engine) => context.inFlight.add(engine, call.digest));
   let started = false;
   return {
     noteFirstToken(): void {
@@ -206,7 +219,7 @@
     close(): void {
       work.close();
       prefill?.close();
-      for (const remove of removals) remove();
+      route.release();
     },
     getStallMs: () =>
       started
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -59,6 +59,8 @@
   readonly expectedTokenMs: number;
   /** Prompt tokens whose KV cache the engine holds. */
   readonly cachedTokens: number;
+  /** Ends the count of the request at its engines, which began with the choice. */
+  readonly release: () => void;
 }
 
 /** One attempt as the load estimates see it. */
--- a/packages/node/src/events.ts
+++ b/packages/node/src/events.ts
@@ -79,9 +79,4 @@
     severity: Severity.Error,
     message: "Background task ended with an error and restarts",
   },
-  endpointSuspected: {
-    number: 150,
-    severity: Severity.Warning,
-    message: "Endpoint is suspected",
-  },
 } satisfies Record<string, EventType>;
--- a/packages/node/src/process/daemon.ts
+++ b/packages/node/src/process/daemon.ts
@@ -20,7 +20,7 @@
 import { buildDigest, takeDigest } from "./exchange.ts";
 import { createInstance, type Instance } from "./instance.ts";
 import { serveCall, serveCompletion } from "./serving.ts";
-import { startTasks } from "./tasks.ts";
+import { runTasks } from "./tasks.ts";
 import { createWorkCount, type WorkCount } from "./work_count.ts";
 
 const startRetryMs = 500;
@@ -83,9 +83,9 @@
     onFailure: (error) =>
       logEvent(daemonEvents.handlerFailed, { error: String(error) }),
   });
-  startTasks(instance, { isStopping: () => isStopping(life) });
+  const tasks = runTasks(instance, { isStopping: () => isStopping(life) });
   void registerStart(instance, peerServer.address, { life });
-  const parts = { instance, life, work, gateway, peerServer };
+  const parts = { instance, life, work, gateway, peerServer, tasks };
   logEvent(daemonEvents.started, {
     instance: instance.name,
     callers: gateway.address,
@@ -116,7 +116,8 @@
     })),
     options.work.countApp(createServicesApp({
       pinVersion,
-      runCall: (call, version) => serveCall(call, version, { parts: serving }),
+      runCall: (call, version, { caller }) =>
+        serveCall(call, version, { parts: serving, caller }),
     })),
     createHealthApp(options.getHealth),
   ];
@@ -197,6 +198,8 @@
   readonly work: WorkCount;
   readonly gateway: Gateway;
   readonly peerServer: PeerServer;
+  /** Resolves once the background tasks have ended. */
+  readonly tasks: Promise<void>;
 }
 
 async function stopInstance(parts: StopParts): Promise<void> {
@@ -210,7 +213,9 @@
   const left = await work.waitUntilIdle(deadlineMs);
   if (left > 0) logEvent(daemonEvents.stopCut, { calls: left });
   const closing = parts.gateway.close();
-  await Promise.race([recordStop(instance), waitFor(stopRecordTimeoutMs)]);
+  instance.ending.abort();
+  const records = Promise.all([parts.tasks, recordStop(instance)]);
+  await Promise.race([records, waitFor(stopRecordTimeoutMs)]);
   await instance.close();
   await parts.peerServer.close();
   if (left === 0) await closing;
--- a/packages/node/src/process/exchange.ts
+++ b/packages/node/src/process/exchange.ts
@@ -38,7 +38,9 @@
 export function takeDigest(instance: Instance, digest: PeerDigest): void {
   instance.demand.takeHeard(digest.demand);
   instance.suspects.mergeEvidence(digest.evidence);
-  for (const endpoint of digest.leaving) instance.members.noteLeaving(endpoint);
+  for (const endpoint of digest.leaving) {
+    instance.members.notePeerWord(endpoint);
+  }
 }
 
 /** Puts the exchange with all peers together. */
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -1,13 +1,16 @@
 /** The parts of one instance that live as long as its process. */
 import { randomUUID } from "node:crypto";
 import {
+  type BurnCounters,
   type CallBook,
   computeCapacity,
   type ControlState,
   createAdmission,
+  createBurnCounters,
   createCallBook,
   createEndpointTable,
   createInFlight,
+  createMembership,
   createRetryBudget,
   createSuspects,
   type EndpointName,
@@ -15,6 +18,9 @@
   type EngineClient,
   type InFlight,
   type InstanceName,
+  isEngineDrained,
+  logEvent,
+  type Membership,
   type OpenEndpointClients,
   openEndpointClients,
   openLogService,
@@ -26,7 +32,6 @@
 import type { Environment, Settings } from "../settings/index.ts";
 import { buildVersionView, type VersionView } from "../version/view.ts";
 import { createDemandBook, type DemandBook } from "./demand.ts";
-import { createMemberBook, type MemberBook } from "./members.ts";
 import type { ServingParts } from "./serving.ts";
 import {
   createSignatureChecks,
@@ -43,13 +48,14 @@
   readonly settings: Settings;
   readonly environment: Environment;
   readonly streams: Streams;
-  readonly members: MemberBook;
+  readonly members: Membership;
   readonly clients: OpenEndpointClients;
   readonly table: EndpointTable;
   readonly suspects: Suspects;
   readonly inFlight: InFlight;
   readonly demand: DemandBook;
   readonly book: CallBook;
+  readonly burn: BurnCounters;
   readonly serving: ServingParts;
   /** Bundle in force, indexed; undefined before the first. */
   readonly getVersion: () => VersionView | undefined;
@@ -71,8 +77,9 @@
   const ending = new AbortController();
   const log = openLogService({ address: settings.platform.log });
   const memberList = openMemberList({ address: settings.platform.members });
-  const members = createMemberBook(memberList.listMembers, {
+  const members = createMembership(memberList.listMembers, {
     ownAddress: peerAddress,
+    logEvent,
   });
   const streams = followStreams(log, {
     instance: name,
@@ -97,6 +104,10 @@
     { stream: streams.calls, instance: name },
     ending.signal,
   );
+  const burn = createBurnCounters({
+    instance: name,
+    getObjectives: () => getVersion()?.bundle.objectives ?? [],
+  });
   const serving: ServingParts = {
     completion: {
       table,
@@ -115,6 +126,9 @@
     clients,
     book,
     demand,
+    burn,
+    isDraining: (engine) => isEngineDrained(streams.control.getState(), engine),
+    silentServices: new Set(),
     isTaking: (endpoint) => !members.isLeaving(endpoint),
   };
   return {
@@ -129,6 +143,7 @@
     inFlight,
     demand,
     book,
+    burn,
     serving,
     getVersion,
     getEngine,
@@ -157,7 +172,7 @@
 
 /** Asks every listed peer and takes the state that covers most. */
 async function fetchPeerState(
-  members: MemberBook,
+  members: Membership,
   settings: Settings,
   { environment }: { readonly environment: Environment },
 ): Promise<ControlState | undefined> {
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -1,5 +1,8 @@
 /** What one instance needs to serve completions and calls, under whichever version a request pins. */
 import {
+  type BundleCaller,
+  type BurnCallEnd,
+  type BurnCounters,
   type CallAnswer,
   type CallBook,
   type CallContext,
@@ -11,6 +14,7 @@
   type EndpointName,
   type FailureDomain,
   logEvent,
+  Outcome,
   type Refusal,
   runCall,
   type ServiceCall,
@@ -27,7 +31,12 @@
   readonly clients: EndpointClients;
   readonly book: CallBook;
   readonly demand: DemandBook;
+  readonly burn: BurnCounters;
   readonly isTaking: (endpoint: EndpointName) => boolean;
+  /** Whether the control state drains an engine at this moment. */
+  readonly isDraining: (engine: EndpointName) => boolean;
+  /** Service endpoints that answer no probe. */
+  readonly silentServices: Set<EndpointName>;
 }
 
 /** Runs a completion under a pinned version and counts its demand. */
@@ -38,18 +47,30 @@
 ): AsyncGenerator<CompletionEvent> {
   const { parts, signal } = options;
   const completion = createCompletionParts(parts.completion, {
-    listEngines: ({ model }) => listEngines(version, model),
+    listEngines: ({ model }) => listEngines(version, model, { parts }),
     getDelayMs: (from, to) => getDelayMs(version, { from, to }),
   });
+  const burn = parts.burn.startCall({
+    caller: call.caller.name,
+    group: call.caller.group,
+    model: call.model,
+    deadlineMs: call.deadlineMs,
+  });
   let outputTokens = 0;
-  let refused = false;
+  let end: BurnCallEnd = { outcome: Outcome.Unknown, abandoned: true };
   try {
     for await (const event of streamCompletion(call, completion, { signal })) {
-      if (event.kind === "token") outputTokens++;
-      if (event.kind === "refused") refused = true;
+      if (event.kind === "token") {
+        outputTokens++;
+        burn.noteTokens();
+      }
+      if (event.kind === "finish") end = { outcome: Outcome.Done };
+      if (event.kind === "refused") end = describeRefusal(event.refusal);
       yield event;
     }
   } finally {
+    burn.recordEnd(end);
+    const refused = end.refusal !== undefined;
     const demand = { promptTokens: call.promptTokens, outputTokens, refused };
     for (const pool of version.poolsByModel.get(call.model) ?? []) {
       parts.demand.note(pool.name, demand);
@@ -57,13 +78,29 @@
   }
 }
 
+function describeRefusal({ outcome, reason }: Refusal): BurnCallEnd {
+  return { outcome, refusal: reason };
+}
+
 /** Runs a call to a plain service under a pinned version. */
-export function serveCall(
+export async function serveCall(
   call: ServiceCall,
   version: VersionView,
-  { parts }: { readonly parts: ServingParts },
+  options: { readonly parts: ServingParts; readonly caller: BundleCaller },
 ): Promise<Either<Refusal, CallAnswer>> {
-  return runCall(call, createCallContext(version, parts));
+  const { parts, caller } = options;
+  const burn = parts.burn.startCall({
+    caller: caller.name,
+    group: caller.group,
+    model: call.service.name,
+    deadlineMs: caller.deadline_ms,
+  });
+  const result = await runCall(call, createCallContext(version, parts));
+  burn.recordEnd(result.caseOf<BurnCallEnd>({
+    Left: describeRefusal,
+    Right: ({ outcome }) => ({ outcome }),
+  }));
+  return result;
 }
 
 /** Puts together what calls need under one version. */
@@ -80,14 +117,15 @@
   };
 }
 
+/** Engines of a model that may take a request by the control state of this moment. */
 function listEngines(
   version: VersionView,
   model: string,
+  { parts }: { readonly parts: ServingParts },
 ): ReadonlySet<EndpointName> {
   const pools = version.poolsByModel.get(model) ?? [];
-  return new Set(
-    pools.flatMap((pool) => pool.engines.map((engine) => engine.name)),
-  );
+  const names = pools.flatMap((pool) => pool.engines.map(({ name }) => name));
+  return new Set(names.filter((name) => !parts.isDraining(name)));
 }
 
 function rankEndpoints(
@@ -100,7 +138,8 @@
     getDelayMs(version, { from: own, to: endpoint.failure_domain }) +
     parts.completion.random();
   return endpoints
-    .filter((endpoint) => parts.isTaking(endpoint.name))
+    .filter(({ name }) => parts.isTaking(name))
+    .filter(({ name }) => !parts.silentServices.has(name))
     .map((endpoint) => ({ endpoint, cost: cost(endpoint) }))
     .toSorted((left, right) => left.cost - right.cost)
     .map(({ endpoint }) => endpoint);
--- a/packages/node/src/process/streams.ts
+++ b/packages/node/src/process/streams.ts
@@ -16,6 +16,7 @@
   readControlCheckpoint,
   type StreamFollower,
   StreamName,
+  type StreamState,
   verifyBundle,
 } from "@trefoildoor/core";
 import type { Settings } from "../settings/index.ts";
@@ -24,6 +25,8 @@
 export interface Streams {
   readonly control: StreamFollower<ControlState>;
   readonly calls: StreamFollower<CallsState>;
+  /** Service-level summaries; its state is only how far it was read. */
+  readonly burn: StreamFollower<StreamState>;
   readonly stop: () => Promise<void>;
 }
 
@@ -64,11 +67,19 @@
     buildCheckpoint: buildCallsCheckpoint,
     readCheckpoint: readCallsCheckpoint,
   });
+  const burn = followStream<StreamState>({
+    stream: StreamName.Burn,
+    log,
+    writer: options.instance,
+    emptyState: { next: 0 },
+    fold: (state, { position }) => ({ ...state, next: position + 1 }),
+  });
   return {
     control,
     calls,
+    burn,
     async stop(): Promise<void> {
-      await Promise.all([control.stop(), calls.stop()]);
+      await Promise.all([control.stop(), calls.stop(), burn.stop()]);
     },
   };
 }
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -1,19 +1,26 @@
 /** Background tasks of one instance. */
 import {
   type BundleService,
+  confirmDrains,
   createCallLookUp,
+  createEndpointWatch,
   type EndpointName,
+  type EndpointWatchOptions,
+  isEngineDrained,
+  keepBurn,
   keepCallsSettled,
   type KeepSettledOptions,
   logEvent,
+  ProbeKind,
   type ServiceName,
   waitFor,
+  type WatchedEndpoint,
 } from "@trefoildoor/core";
 import { keepPeers } from "../connection/peers/index.ts";
 import { daemonEvents } from "../events.ts";
-import { createEngineWatch } from "./engine_watch.ts";
 import { createPeersParts } from "./exchange.ts";
 import type { Instance } from "./instance.ts";
+import type { VersionView } from "../version/view.ts";
 import { createCallContext } from "./serving.ts";
 
 type LookUpCall = KeepSettledOptions["lookUp"];
@@ -21,21 +28,24 @@
 const flagIntervalMs = 200;
 const restartPauseMs = 1_000;
 
-/** Starts all tasks; they end when the instance's signal aborts. */
-export function startTasks(
+/** Starts all tasks; resolves once all have ended after the instance's signal. */
+export async function runTasks(
   instance: Instance,
   options: { readonly isStopping: () => boolean },
-): void {
+): Promise<void> {
   const { signal } = instance.ending;
   const tasks: Readonly<Record<string, () => Promise<void>>> = {
     members: () => instance.members.keep(signal),
     peers: () => keepPeers(createPeersParts(instance, options), signal),
     flags: () => keepFlags(instance),
     calls: () => keepCalls(instance),
+    burn: () => keepBurnSummaries(instance),
+    drains: () => keepDrainsConfirmed(instance),
   };
-  for (const [name, run] of Object.entries(tasks)) {
-    void keepRunning(name, run, { signal });
-  }
+  const running = Object.entries(tasks).map(([name, run]) =>
+    keepRunning(name, run, { signal })
+  );
+  await Promise.all(running);
 }
 
 /** Runs a task again after an unexpected error, so that no fault ends it for good. */
@@ -54,10 +64,10 @@
   }
 }
 
-/** Follows the engines of the bundle in force and what makes them unusable. */
+/** Follows the endpoints of the bundle in force and what makes them unusable. */
 async function keepFlags(instance: Instance): Promise<void> {
   const { signal } = instance.ending;
-  const watch = createEngineWatch(instance);
+  const watch = createEndpointWatch(createWatchOptions(instance));
   let version = 0;
   while (!signal.aborted) {
     const view = instance.getVersion();
@@ -65,26 +75,85 @@
       version = view.bundle.version;
       logEvent(daemonEvents.bundleInForce, { version });
     }
-    const engines = new Set(view?.engines.keys() ?? []);
-    for (const engine of engines) setFlags(instance, engine);
-    watch.follow(engines);
+    for (const engine of view?.engines.keys() ?? []) setFlags(instance, engine);
+    watch.follow(view ? listWatched(view) : []);
     await waitFor(flagIntervalMs, signal);
   }
   watch.stop();
 }
 
+function createWatchOptions(instance: Instance): EndpointWatchOptions {
+  const { table, suspects, inFlight, members, clients } = instance;
+  const { silentServices } = instance.serving;
+  return {
+    logEvent,
+    openProbe: (watched) => clients.openProbe(watched, watched.kind),
+    onReport: (engine, report) => {
+      table.observeReport(engine, report);
+    },
+    onLeaving: (endpoint, leaving) => members.noteLeaving(endpoint, leaving),
+    onSilent: (endpoint, silent) => {
+      if (table.getView(endpoint)) table.observeFlags(endpoint, { silent });
+      else if (silent) silentServices.add(endpoint);
+      else silentServices.delete(endpoint);
+    },
+    onCrash: (engine, startId) =>
+      suspects.noteCrash(engine, inFlight.listSuspects(engine), { startId }),
+    onGone: (endpoint) => {
+      table.removeEngine(endpoint);
+      silentServices.delete(endpoint);
+      void clients.closeEndpoint(endpoint);
+    },
+  };
+}
+
+function listWatched(view: VersionView): readonly WatchedEndpoint[] {
+  const engines = [...view.engines.values()].map(({ engine }) => ({
+    endpoint: engine.name,
+    address: engine.address,
+    kind: ProbeKind.Load,
+  }));
+  const services = [...view.services.values()].flatMap((service) =>
+    service.endpoints.map(({ name, address }) => ({
+      endpoint: name,
+      address,
+      kind: ProbeKind.Ping,
+    }))
+  );
+  return [...engines, ...services];
+}
+
 function setFlags(instance: Instance, engine: EndpointName): void {
   const entry = instance.getVersion()?.engines.get(engine)?.engine;
   if (!entry) return;
   const state = instance.streams.control.getState();
   const order = state.orders[engine];
+  const isOpen = order !== undefined && order.closed === undefined;
   instance.table.observeFlags(engine, {
     failureDomain: entry.failure_domain,
     role: order?.target.role ?? entry.role,
-    draining: state.drains[engine] !== undefined,
+    draining: isEngineDrained(state, engine),
     leaving: instance.members.isLeaving(engine),
-    changing: order !== undefined && order.closed === undefined &&
-      !order.fenceOnly,
+    changing: isOpen && !order.fenceOnly,
+  });
+}
+
+/** Writes service-level summaries until the instance ends. */
+async function keepBurnSummaries(instance: Instance): Promise<void> {
+  await keepBurn({
+    counters: instance.burn,
+    append: instance.streams.burn.append,
+    signal: instance.ending.signal,
+  });
+}
+
+/** Confirms drains once this instance has nothing at their engines. */
+async function keepDrainsConfirmed(instance: Instance): Promise<void> {
+  await confirmDrains({
+    instance: instance.name,
+    stream: instance.streams.control,
+    countInFlight: instance.inFlight.count,
+    signal: instance.ending.signal,
   });
 }
 
--- a/packages/node/src/request/services_app.ts
+++ b/packages/node/src/request/services_app.ts
@@ -44,6 +44,7 @@
   readonly runCall: (
     call: ServiceCall,
     version: VersionView,
+    options: { readonly caller: BundleCaller },
   ) => Promise<Either<Refusal, CallAnswer>>;
 }
 
@@ -90,7 +91,7 @@
       request: serviceRequest,
       signal: deadline.signal,
     };
-    const result = await parts.runCall(call, version);
+    const result = await parts.runCall(call, version, { caller });
     result.caseOf({
       Left: (refusal) => sendRefusal(response, refusal),
       Right: (answer) => sendAnswer(response, answer),
--- a/packages/node/src/settings/schema.ts
+++ b/packages/node/src/settings/schema.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 
 const address = z.string().regex(
-  /^[^\s:/]+:\d{1,5}$/,
+  /^(https?:\/\/)?[^\s:/]+:\d{1,5}$/,
   "is not an IP number and port",
 );
 const port = z.int().min(0).max(65_535);
--- a/packages/standins/src/experiment/slopes/peer_slopes.ts
+++ b/packages/standins/src/experiment/slopes/peer_slopes.ts
@@ -111,7 +111,7 @@
     version: 9_300,
     stopping: false,
     demand,
-    evidence: [],
+    evidence: { instance: "entry-1", digests: [], trials: [] },
     leaving: [],
   };
 }
--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -221,7 +221,7 @@
 }
 
 function buildKey(caller: string): string {
-  return `key of ${caller}`;
+  return `key-of-${caller}`;
 }
 
 function buildBundle(
