--- /dev/null
+++ b/packages/core/src/process/rollout/describe_rollout.ts
@@ -0,0 +1,103 @@
+/** Describes rollouts for operators. */
+import type {
+  BundlePool,
+  BundleVersion,
+  ControlState,
+  EndpointName,
+  EngineTarget,
+  FailureDomain,
+  InstanceName,
+  PoolName,
+} from "../../types/index.ts";
+import {
+  findOpenOrder,
+  getVersionInForce,
+} from "../../version/control/index.ts";
+import { isSameTarget } from "../orders/index.ts";
+
+/** How far an engine is. */
+export enum RolloutProgress {
+  Done = "done",
+  Draining = "draining",
+  Changing = "changing",
+  Waiting = "waiting",
+  /** Neither its last order nor the engine itself tells. */
+  Unknown = "unknown",
+}
+
+/** Progress of one engine. */
+export interface RolloutEngine {
+  readonly engine: EndpointName;
+  readonly failureDomain: FailureDomain;
+  readonly progress: RolloutProgress;
+}
+
+/** Progress of one pool. */
+export interface RolloutDescription {
+  readonly pool: PoolName;
+  readonly version: BundleVersion;
+  /** Lease holder that conducts the rollout; absent while there is none. */
+  readonly conductor?: InstanceName;
+  readonly done: number;
+  readonly engines: readonly RolloutEngine[];
+  /** Why the rollout stopped by itself. */
+  readonly halted?: string;
+}
+
+/** Describes the rollout of the bundle in force in each pool. */
+export function describeRollout(
+  state: ControlState,
+  options: {
+    /** Targets that engines were read in, where they are known. */
+    readonly targets?: Readonly<Record<EndpointName, EngineTarget>>;
+  } = {},
+): readonly RolloutDescription[] {
+  const pools = state.bundle?.signed.bundle.pools ?? [];
+  const version = getVersionInForce(state);
+  return pools.map((pool) => {
+    const engines = pool.engines.map(({ name, failure_domain }) => ({
+      engine: name,
+      failureDomain: failure_domain,
+      progress: getProgress(state, pool, {
+        engine: name,
+        target: options.targets?.[name],
+      }),
+    }));
+    const lease = state.leases[pool.name];
+    const halt = state.halts[pool.name];
+    return {
+      pool: pool.name,
+      version,
+      conductor: lease && !lease.released ? lease.holder : undefined,
+      done: engines.filter((one) => one.progress === RolloutProgress.Done)
+        .length,
+      engines,
+      halted: halt?.version === version ? halt.reason : undefined,
+    };
+  });
+}
+
+function getProgress(
+  state: ControlState,
+  pool: BundlePool,
+  options: {
+    readonly engine: EndpointName;
+    readonly target: EngineTarget | undefined;
+  },
+): RolloutProgress {
+  const { engine } = options;
+  if (findOpenOrder(state, engine)) return RolloutProgress.Changing;
+  if (Object.hasOwn(state.drains, engine)) return RolloutProgress.Draining;
+  const order = Object.hasOwn(state.orders, engine)
+    ? state.orders[engine]
+    : undefined;
+  const ordered = order?.closed?.reached && !order.fenceOnly
+    ? order.target
+    : undefined;
+  const target = options.target ?? ordered;
+  if (!target) return RolloutProgress.Unknown;
+  const wanted = { role: target.role, models: pool.models };
+  return isSameTarget(target, wanted)
+    ? RolloutProgress.Done
+    : RolloutProgress.Waiting;
+}
