Test rollouts over several engines and log why one waits

Cause: rollouts had no features, and a rollout that waits for the pool's floors was silent. Change: features for order, floors, failing engines, failed requests, a conductor that dies and role changes; an event names what a rollout waits for.

--- a/packages/core/src/process/orders/order_world.test.ts
+++ b/packages/core/src/process/orders/order_world.test.ts
@@ -49,6 +49,8 @@
   readonly crash: () => void;
   /** Requests that run. */
   running: number;
+  /** Whether changes fail. */
+  fails: boolean;
 }
 
 /** One instance of the world. */
@@ -64,7 +66,9 @@
 /** The world of one scenario. */
 export interface OrderWorldState extends StepWorld {
   readonly bundle: Bundle;
+  /** The first engine. */
   readonly engine: TestEngine;
+  readonly engines: ReadonlyMap<string, TestEngine>;
   readonly instances: OrderInstance[];
   /** Answers of the weight store; granted when empty. */
   readonly grants: boolean[];
@@ -73,21 +77,40 @@
   readonly stop: () => void;
 }
 
-/** Creates a world with one engine and a published bundle. */
-export function createOrderWorld(fenceCheck: FenceCheck): OrderWorldState {
+/** Shape of a world. */
+export interface OrderWorldOptions {
+  /** Names of engines; each even one is in another failure domain. */
+  readonly engines: readonly string[];
+  /** Time after which a change ends by itself, in ms; never when absent. */
+  readonly changeMs?: number;
+}
+
+const oneEngine: OrderWorldOptions = { engines: ["e1"] };
+
+/** Creates a world with engines and a published bundle. */
+export function createOrderWorld(
+  fenceCheck: FenceCheck,
+  options: OrderWorldOptions = oneEngine,
+): OrderWorldState {
   const stop = new AbortController();
   const steps = createStepWorld();
-  const bundle = buildBundle(fenceCheck);
+  const bundle = buildBundle(fenceCheck, options);
   let folded = emptyControlState;
   const foldLog = (): ControlState => {
     folded = steps.log.slice(folded.next).reduce(foldEntry, folded);
     return folded;
   };
-  const engine = createEngine(fenceCheck, foldLog);
+  const engines = new Map(options.engines.map((name) => [
+    name,
+    createEngine(fenceCheck, { ...options, name, foldLog }),
+  ]));
+  const engine = engines.get("e1");
+  if (!engine) throw new Error("no engine e1");
   const world: OrderWorldState = {
     ...steps,
     bundle,
     engine,
+    engines,
     instances: [],
     grants: [],
     addInstance: (name) => {
@@ -130,16 +153,23 @@
   return { role: EngineRole.Mixed, models };
 }
 
-function buildBundle(fenceCheck: FenceCheck): Bundle {
+function buildBundle(
+  fenceCheck: FenceCheck,
+  options: OrderWorldOptions,
+): Bundle {
   return bundleSchema.parse({
     version: 1,
     parent: 0,
     author: "test",
-    failure_domains: [{ name: "sapporo" }],
+    failure_domains: [{ name: "sapporo" }, { name: "hakodate" }],
     pools: [{
       name: "drafts",
       fence_check: fenceCheck,
-      engines: [{ name: "e1", failure_domain: "sapporo", address: "" }],
+      engines: options.engines.map((name, index) => ({
+        name,
+        failure_domain: index % 2 === 0 ? "sapporo" : "hakodate",
+        address: "",
+      })),
       models: [{ model: "drafter", version: "2" }],
     }],
   });
@@ -171,10 +201,12 @@
           if (instance.believes !== epoch) throw new Error("lease is lost");
         },
       },
-      openEngine: () => ({
+      openEngine: ({ name: engine }) => ({
         ...unusedEngine,
-        fetchState: () => send("state", () => world.engine.readState()),
-        order: (order) => send("order", () => world.engine.receive(order)),
+        fetchState: () =>
+          send("state", () => findEngine(world, engine).readState()),
+        order: (order) =>
+          send("order", () => findEngine(world, engine).receive(order)),
       }),
       reserveWeightLoad: () =>
         Promise.resolve({
@@ -203,6 +235,12 @@
   return instance;
 }
 
+function findEngine(world: OrderWorldState, name: string): TestEngine {
+  const engine = world.engines.get(name);
+  if (!engine) throw new Error(`no engine "${name}"`);
+  return engine;
+}
+
 const unusedEngine = {
   generate: refuseUse,
   resume: refuseUse,
@@ -217,7 +255,11 @@
 
 function createEngine(
   fenceCheck: FenceCheck,
-  foldLog: () => ControlState,
+  options: {
+    readonly name: string;
+    readonly changeMs?: number;
+    readonly foldLog: () => ControlState;
+  },
 ): TestEngine {
   let target = buildTarget("1");
   let fence = 0;
@@ -236,7 +278,7 @@
     if (order.fenceOnly || isRepeat) return readState();
     if (running.size > 0) engine.violations.push("two changes at once");
     if (engine.running > 0) engine.violations.push("requests were cut");
-    const open = findOpenOrder(foldLog(), "e1");
+    const open = findOpenOrder(options.foldLog(), options.name);
     const isClosed = open?.order !== order.fence;
     if (fenceCheck === FenceCheck.Ignored && isClosed) {
       engine.violations.push(`closed order ${order.fence} arrived`);
@@ -244,6 +286,7 @@
     running.add(order);
     newest = order;
     progress = OrderProgress.Running;
+    if (options.changeMs !== undefined) setTimeout(advance, options.changeMs);
     return readState();
   }
 
@@ -279,6 +322,10 @@
     const order = [...running].at(-1);
     running.clear();
     if (!order) return;
+    if (engine.fails) {
+      progress = OrderProgress.Failed;
+      return;
+    }
     target = order.target;
     progress = OrderProgress.Finished;
   }
@@ -298,6 +345,7 @@
     advance,
     crash,
     running: 0,
+    fails: false,
   };
   return engine;
 }
--- a/packages/core/src/process/rollout/events.ts
+++ b/packages/core/src/process/rollout/events.ts
@@ -23,4 +23,9 @@
     severity: Severity.Warning,
     message: "change of a pool was broken off and is tried again",
   },
+  rolloutBlocked: {
+    number: 344,
+    severity: Severity.Warning,
+    message: "rollout waits and changes no engine",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/rollout/keep_pool.ts
+++ b/packages/core/src/process/rollout/keep_pool.ts
@@ -29,7 +29,12 @@
   settleOpenOrder,
 } from "../orders/index.ts";
 import { rolloutEvents } from "./events.ts";
-import { canTakeEngine, planRollout, type SeenEngine } from "./plan_rollout.ts";
+import {
+  canTakeEngine,
+  planRollout,
+  type RolloutPlan,
+  type SeenEngine,
+} from "./plan_rollout.ts";
 import {
   createHealthWatch,
   type HealthWatch,
@@ -63,6 +68,8 @@
   /** Until when engines are left alone, on the monotonic clock in ms. */
   readonly skippedUntil: Map<EndpointName, number>;
   lastChangeMs?: number;
+  /** Why the rollout waited in the newest round. */
+  blocked?: string;
 }
 
 /** A round of the task under a held lease. */
@@ -131,12 +138,28 @@
   if (state.halts[pool.name]?.version === version) return;
   const skipped = listSkipped(memory);
   const plan = planRollout(options.stream.getState(), pool, { seen, skipped });
+  noteBlocked(options, memory, { plan });
   if (plan.kind === "step") {
     return await runStep(round, options, { step: plan });
   }
   if (plan.kind === "done") await planRoleChange(round, options);
 }
 
+/** Logs each new reason for which the rollout waits. */
+function noteBlocked(
+  options: KeepPoolOptions,
+  memory: PoolMemory,
+  noteOptions: { readonly plan: RolloutPlan },
+): void {
+  const { plan } = noteOptions;
+  const reason = plan.kind === "blocked" ? plan.reason : undefined;
+  if (reason !== undefined && reason !== memory.blocked) {
+    const { pool } = options;
+    options.logEvent?.(rolloutEvents.rolloutBlocked, { pool, reason });
+  }
+  memory.blocked = reason;
+}
+
 /** Settles open orders and drains of earlier epochs. */
 async function settleLeftovers(
   round: PoolRound,
