--- a/packages/core/src/version/bundle/bundle.feature
+++ b/packages/core/src/version/bundle/bundle.feature
@@ -63,3 +63,6 @@
     Given the example bundle of "calderas"
     And a changed copy of it
     Then the rollback differs from the example only in version, parent, author and note
+
+  Scenario: The reference page of bundles is the schema's own
+    Then docs/BUNDLE.md is written from the bundle's schema
--- a/packages/core/src/version/bundle/bundle.steps.ts
+++ b/packages/core/src/version/bundle/bundle.steps.ts
@@ -2,8 +2,11 @@
 import assert from "node:assert/strict";
 import { generateKeyPairSync } from "node:crypto";
 import { type DataTable, Given, Then, When } from "@cucumber/cucumber";
+import { expectSchemaPage, type PageSchema } from "@trefoildoor/testing";
+import { z } from "zod";
 import {
   type Bundle,
+  bundleSchema,
   formatFinding,
   type SignedBundle,
   signedBundleSchema,
@@ -225,6 +228,32 @@
   },
 );
 
+Then(
+  "docs\\/BUNDLE.md is written from the bundle's schema",
+  function (): void {
+    expectSchemaPage("docs/BUNDLE.md", {
+      head: pageHead,
+      schema: z.toJSONSchema(bundleSchema, { io: "input" }) as PageSchema,
+    });
+  },
+);
+
+const pageHead = `# Bundles
+
+A bundle states what the fleet runs and for whom. \`trefoildoorctl bundle init\`
+writes an example, \`bundle check\` lists every fault with its place, and
+[the operators' pages](operators/first_day.md) lead through signing and rolling
+out. Beyond the schema below, \`check\` requires that:
+
+- names of failure domains, pools, services, callers, and of all engines and
+  service processes together are unique, as are addresses and API keys;
+- failure domains, models and services that are named exist in the bundle;
+- addresses are IP numbers with ports;
+- floors are at most the number of engines that start in such a role;
+- objectives name a group that some caller is in.
+
+This table is written from the schema by \`UPDATE_SNAPSHOTS=1 npm test\`.`;
+
 function advance(bundle: Bundle, change: (draft: Bundle) => void): Bundle {
   const draft = structuredClone(bundle);
   draft.parent = bundle.version;
--- a/packages/standins/src/experiment/experiments.ts
+++ b/packages/standins/src/experiment/experiments.ts
@@ -4,6 +4,7 @@
 import { overload } from "./bench_experiments/overload.ts";
 import { staleReports } from "./bench_experiments/stale_reports.ts";
 import type { Experiment } from "./experiment.ts";
+import { slopes } from "./slopes/index.ts";
 
 /** All experiments. */
 export const experiments: readonly Experiment[] = [
@@ -11,4 +12,5 @@
   overload,
   staleReports,
   hotPrefix,
+  slopes,
 ];
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -6,3 +6,8 @@
 } from "./snapshots.ts";
 export { pauseClock, type PausedClock, pausedClockStartMs } from "./clock.ts";
 export { waitUntil } from "./wait.ts";
+export {
+  expectSchemaPage,
+  type PageSchema,
+  renderSchemaTable,
+} from "./schema_page.ts";
