--- a/packages/ctl/src/testing/fleet_records.ts
+++ b/packages/ctl/src/testing/fleet_records.ts
@@ -25,8 +25,9 @@
  * Appends to a log that holds one bundle: two instances, a lease that passes
  * from one to the other, a finished order, a failed one, one that waits for
  * its deposed sender, one that is open, a drain and a halt; and one call.
+ * Resolves to the epoch of the lease.
  */
-export async function appendFleetRecords(log: MemoryLog): Promise<void> {
+export async function appendFleetRecords(log: MemoryLog): Promise<number> {
   let offset = 1;
   async function add(record: LogRecord, writer: string): Promise<number> {
     await log.appendRecords(StreamName.Control, [record], { writer });
@@ -105,13 +106,7 @@
     epoch: second.epoch,
     engine: "engine-5",
   }, "entry-2");
-  await add({
-    kind: RecordKind.RolloutHalted,
-    pool,
-    epoch: second.epoch,
-    version: 1,
-    reason: "useful answers fell by 12%",
-  }, "entry-2");
+  await appendHalt(log, { epoch: second.epoch, version: 1 });
   await log.appendRecords(StreamName.Calls, [{
     kind: RecordKind.CallIntent,
     caller: "shop-otaru",
@@ -120,6 +115,20 @@
     bodyDigest: "a".repeat(64),
     instance: "entry-1",
   }], { writer: "entry-1" });
+  return second.epoch;
+}
+
+/** Halts the rollout of a version, as the pool's lease holder does. */
+export function appendHalt(
+  log: MemoryLog,
+  options: { readonly epoch: number; readonly version: number },
+): Promise<void> {
+  return log.appendRecords(StreamName.Control, [{
+    kind: RecordKind.RolloutHalted,
+    pool,
+    ...options,
+    reason: "useful answers fell by 12%",
+  }], { writer: "entry-2" });
 }
 
 /** Summaries of the hour before `nowMs`: a tenth lost, one hole, one lost end. */
