--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -1,5 +1,6 @@
 /** The parts of one instance that live as long as its process. */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import {
   type BurnCounters,
   type CallBook,
@@ -25,13 +26,16 @@
   openEndpointClients,
   openLogService,
   openMemberList,
+  openWeightStore,
   parseControlState,
+  type ReserveWeightLoad,
   type Suspects,
 } from "@trefoildoor/core";
 import { openPeerClient } from "../connection/peers/index.ts";
 import type { Environment, Settings } from "../settings/index.ts";
 import { buildVersionView, type VersionView } from "../version/view.ts";
 import { createDemandBook, type DemandBook } from "./demand.ts";
+import { createPoolHealthBook, type PoolHealthBook } from "./pool_health.ts";
 import type { ServingParts } from "./serving.ts";
 import {
   createSignatureChecks,
@@ -56,6 +60,10 @@
   readonly demand: DemandBook;
   readonly book: CallBook;
   readonly burn: BurnCounters;
+  readonly health: PoolHealthBook;
+  readonly reserveWeightLoad: ReserveWeightLoad;
+  /** Address at which peers reach this instance. */
+  readonly peerAddress: string;
   readonly serving: ServingParts;
   /** Bundle in force, indexed; undefined before the first. */
   readonly getVersion: () => VersionView | undefined;
@@ -75,8 +83,11 @@
     randomUUID().slice(0, nameSuffixLength)
   }`;
   const ending = new AbortController();
+  // Every task and connection of the instance listens to this signal.
+  setMaxListeners(0, ending.signal);
   const log = openLogService({ address: settings.platform.log });
   const memberList = openMemberList({ address: settings.platform.members });
+  const weights = openWeightStore({ address: settings.platform.weights });
   const members = createMembership(memberList.listMembers, {
     ownAddress: peerAddress,
     logEvent,
@@ -104,6 +115,7 @@
     { stream: streams.calls, instance: name },
     ending.signal,
   );
+  const health = createPoolHealthBook();
   const burn = createBurnCounters({
     instance: name,
     getObjectives: () => getVersion()?.bundle.objectives ?? [],
@@ -127,6 +139,7 @@
     book,
     demand,
     burn,
+    health,
     isDraining: (engine) => isEngineDrained(streams.control.getState(), engine),
     silentServices: new Set(),
     isTaking: (endpoint) => !members.isLeaving(endpoint),
@@ -144,6 +157,9 @@
     demand,
     book,
     burn,
+    health,
+    reserveWeightLoad: weights.reserveWeightLoad,
+    peerAddress,
     serving,
     getVersion,
     getEngine,
@@ -151,7 +167,12 @@
     async close(): Promise<void> {
       ending.abort();
       await streams.stop();
-      await Promise.all([clients.close(), log.close(), memberList.close()]);
+      await Promise.all([
+        clients.close(),
+        log.close(),
+        memberList.close(),
+        weights.close(),
+      ]);
     },
   };
 }
--- /dev/null
+++ b/packages/node/src/process/pools.ts
@@ -0,0 +1,139 @@
+/** One lease and one task for each pool of the bundle in force. */
+import {
+  createOwnOrders,
+  createPlanner,
+  keepLease,
+  keepPool,
+  type LeaseKeeper,
+  logEvent,
+  type OwnOrders,
+  type PlannerEngine,
+  type PoolName,
+  settleOwnOrders,
+  stopGoneInstances,
+  waitFor,
+} from "@trefoildoor/core";
+import type { Instance } from "./instance.ts";
+
+const followIntervalMs = 500;
+/** Age of the list from which it says nothing of who is gone, in ms. */
+const staleListMs = 2_000;
+
+interface PoolTask {
+  readonly lease: LeaseKeeper;
+  readonly ending: AbortController;
+  readonly done: Promise<void>;
+}
+
+/** Keeps the pools until the instance ends; then releases their leases. */
+export async function keepPools(
+  instance: Instance,
+  options: { readonly isStopping: () => boolean },
+): Promise<void> {
+  const { signal } = instance.ending;
+  const tasks = new Map<PoolName, PoolTask>();
+  const own = createOwnOrders();
+  const shared = {
+    instance: instance.name,
+    stream: instance.streams.control,
+    logEvent,
+    signal,
+  };
+  const housekeeping = [
+    settleOwnOrders({ ...shared, own }),
+    stopGoneInstances({
+      ...shared,
+      listInstances: () => listInstances(instance),
+      isResponsible: () =>
+        [...tasks.values()].some(({ lease }) => lease.isHeld()),
+    }),
+  ];
+  while (!signal.aborted) {
+    const view = instance.getVersion();
+    const wanted = new Set(view?.bundle.pools.map(({ name }) => name));
+    for (const [pool, task] of tasks) {
+      if (wanted.has(pool)) continue;
+      tasks.delete(pool);
+      void stopTask(task);
+    }
+    for (const pool of wanted) {
+      if (tasks.has(pool)) continue;
+      tasks.set(pool, startTask(pool, instance, { own, ...options }));
+    }
+    await waitFor(followIntervalMs, signal);
+  }
+  await Promise.all([...tasks.values()].map(stopTask));
+  await Promise.all(housekeeping);
+}
+
+function startTask(
+  pool: PoolName,
+  instance: Instance,
+  options: { readonly own: OwnOrders; readonly isStopping: () => boolean },
+): PoolTask {
+  const ending = new AbortController();
+  const stream = instance.streams.control;
+  const lease = keepLease({
+    pool,
+    instance: instance.name,
+    stream,
+    leaseTimeMs: instance.settings.lease.time_ms,
+    mayClaim: () => !options.isStopping(),
+    logEvent,
+  });
+  const done = keepPool({
+    pool,
+    instance: instance.name,
+    stream,
+    lease,
+    own: options.own,
+    openEngine: ({ name, address }) =>
+      instance.clients.openEngine(name, address),
+    reserveWeightLoad: instance.reserveWeightLoad,
+    planRoles: createPlanner(),
+    listEngines: () => listPlannerEngines(pool, instance),
+    listDemand: () => instance.demand.listSamples(pool),
+    measureHealth: () => instance.health.read(pool),
+    logEvent,
+    signal: ending.signal,
+  });
+  return { lease, ending, done };
+}
+
+/** Lets the pool's task end before the lease that it acts under. */
+async function stopTask(task: PoolTask): Promise<void> {
+  task.ending.abort();
+  await task.done;
+  await task.lease.stop();
+}
+
+function listPlannerEngines(
+  pool: PoolName,
+  instance: Instance,
+): readonly PlannerEngine[] {
+  const found = instance.getVersion()?.bundle.pools
+    .find(({ name }) => name === pool);
+  return (found?.engines ?? []).map((engine) => {
+    const view = instance.table.getView(engine.name);
+    return {
+      name: engine.name,
+      failureDomain: engine.failure_domain,
+      role: view?.role ?? engine.role,
+      ready: view?.usable ?? false,
+      report: view?.report,
+      reportAgeMs: view?.reportAgeMs ?? Infinity,
+    };
+  });
+}
+
+/** Processes on the platform's list by their start names; undefined while it is stale. */
+function listInstances(instance: Instance): readonly string[] | undefined {
+  if (instance.members.getAgeMs() > staleListMs) return undefined;
+  const addresses = new Set([
+    instance.peerAddress,
+    ...instance.members.listPeers().map(({ address }) => address),
+  ]);
+  return Object.values(instance.streams.control.getState().instances)
+    .filter(({ peerAddress }) => addresses.has(peerAddress))
+    .map((entry) => entry.instance);
+}
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -24,6 +24,7 @@
 import type { Either } from "purify-ts";
 import type { VersionView } from "../version/view.ts";
 import type { DemandBook } from "./demand.ts";
+import type { PoolHealthBook } from "./pool_health.ts";
 
 /** What serving uses for as long as the process lives. */
 export interface ServingParts {
@@ -32,6 +33,7 @@
   readonly book: CallBook;
   readonly demand: DemandBook;
   readonly burn: BurnCounters;
+  readonly health: PoolHealthBook;
   readonly isTaking: (endpoint: EndpointName) => boolean;
   /** Whether the control state drains an engine at this moment. */
   readonly isDraining: (engine: EndpointName) => boolean;
@@ -74,6 +76,7 @@
     const demand = { promptTokens: call.promptTokens, outputTokens, refused };
     for (const pool of version.poolsByModel.get(call.model) ?? []) {
       parts.demand.note(pool.name, demand);
+      parts.health.note(pool.name, end.refusal);
     }
   }
 }
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -21,6 +21,7 @@
 import { createPeersParts } from "./exchange.ts";
 import type { Instance } from "./instance.ts";
 import type { VersionView } from "../version/view.ts";
+import { keepPools } from "./pools.ts";
 import { createCallContext } from "./serving.ts";
 
 type LookUpCall = KeepSettledOptions["lookUp"];
@@ -41,6 +42,7 @@
     calls: () => keepCalls(instance),
     burn: () => keepBurnSummaries(instance),
     drains: () => keepDrainsConfirmed(instance),
+    pools: () => keepPools(instance, options),
   };
   const running = Object.entries(tasks).map(([name, run]) =>
     keepRunning(name, run, { signal })
--- a/packages/node/src/settings/schema.ts
+++ b/packages/node/src/settings/schema.ts
@@ -81,12 +81,6 @@
   time_ms: z.int().min(500).default(5_000).describe(
     "Time without a renewal after which others claim, in ms",
   ),
-  renew_ms: z.int().min(50).default(1_500).describe(
-    "Time between two renewals, in ms",
-  ),
-  drift_margin_ms: z.int().min(0).default(500).describe(
-    "Time by which the holder stops earlier, in ms",
-  ),
 });
 
 /** Schema of the daemon's settings. */
