--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,6 @@
 /** Stand-ins for the platform and the endpoints, and tools that drive them. */
 export * from "./fleet/index.ts";
+export * from "./history/index.ts";
 export * from "./load/index.ts";
 export * from "./log_service/index.ts";
 export * from "./member_list/index.ts";
