Make role changes pay a share of what is served, and measure group trust

Change: a change has to gain at least 3% of what is served over the horizon; demand windows of 8 and 16 s; of equal gains the more versatile role wins; the budget's property runs over long sequences; a plain count against group trust. Conclusion: small predicted gains are noise of the model.

--- a/packages/core/src/process/planner/planner.ts
+++ b/packages/core/src/process/planner/planner.ts
@@ -25,6 +25,10 @@
   readonly horizonMs?: number;
   /** Time that an engine is away for a change, drain included, in ms. */
   readonly changeTimeMs?: number;
+  /** Shortest time between two changes, in ms. */
+  readonly restMs?: number;
+  /** Least gain as a share of all that is served over the horizon. */
+  readonly leastShare?: number;
 }
 
 interface Plan {
@@ -36,21 +40,26 @@
 
 const defaultHorizonMs = 60_000;
 const defaultChangeTimeMs = 15_000;
-const shortWindowMs = 10_000;
-const longWindowMs = 25_000;
-const restMs = 10_000;
+const shortWindowMs = 8_000;
+const longWindowMs = 16_000;
+const defaultRestMs = 10_000;
+const defaultLeastShare = 0.03;
 const maxMoves = 2;
+/** Of equal gains the more versatile role wins. */
+const targetRoles = [EngineRole.Mixed, EngineRole.Prefill, EngineRole.Decode];
 const msPerSecond = 1_000;
 
 /** Creates the planner of one pool. */
 export function createPlanner(options: PlannerOptions = {}): PlanRoles {
   const horizonMs = options.horizonMs ?? defaultHorizonMs;
   const changeTimeMs = options.changeTimeMs ?? defaultChangeTimeMs;
+  const restMs = options.restMs ?? defaultRestMs;
+  const leastShare = options.leastShare ?? defaultLeastShare;
   const estimator = createSpeedEstimator();
 
   return (input: PlannerInput): RoleChange | undefined => {
     estimator.observe(input.engines);
-    if (!mayChange(input)) return undefined;
+    if (!mayChange(input, restMs)) return undefined;
     const mixes = [shortWindowMs, longWindowMs].map((windowMs) =>
       computeMix(input, windowMs)
     );
@@ -85,12 +94,14 @@
     const after = computeServed(mix, { counts: plan.counts, speeds });
     const awayMs = changeTimeMs * plan.moves;
     const lost = (now - during) * awayMs;
-    return ((after - now) * (horizonMs - awayMs) - lost) / msPerSecond;
+    const least = now * horizonMs * leastShare;
+    const gained = (after - now) * (horizonMs - awayMs);
+    return (gained - lost - least) / msPerSecond;
   }
 }
 
 /** One change at a time, and none while an engine is away or unknown. */
-function mayChange(input: PlannerInput): boolean {
+function mayChange(input: PlannerInput, restMs: number): boolean {
   if (input.engines.some((engine) => !engine.ready)) return false;
   if (input.lastChangeMs === undefined) return true;
   return input.nowMs - input.lastChangeMs >= restMs;
@@ -141,7 +152,7 @@
 ): readonly Plan[] {
   const plans: Plan[] = [];
   for (const from of Object.values(EngineRole)) {
-    for (const to of Object.values(EngineRole)) {
+    for (const to of targetRoles) {
       if (from === to) continue;
       for (let moves = 1; moves <= maxMoves; moves++) {
         if (counts[from] < moves) continue;
--- a/packages/core/src/request/retries/budget.steps.ts
+++ b/packages/core/src/request/retries/budget.steps.ts
@@ -21,7 +21,10 @@
       repeats: fc.integer({ min: 0, max: 4 }),
       kind: fc.constantFrom(...Object.values(RepeatKind)),
     });
-    const actions = fc.array(action, { maxLength: 2_000 });
+    const actions = fc.array(action, {
+      maxLength: 2_000,
+      size: "max",
+    });
     fc.assert(
       fc.property(actions, (list) => {
         const budget = createRetryBudget();
--- a/packages/standins/src/experiment/experiments.ts
+++ b/packages/standins/src/experiment/experiments.ts
@@ -1,5 +1,6 @@
 /** The experiments by name: one import and one line for each. */
 import { mixShift } from "./bench_experiments/mix_shift.ts";
+import { groupTrust } from "./bench_experiments/group_trust.ts";
 import { hotPrefix } from "./bench_experiments/hot_prefix.ts";
 import { overload } from "./bench_experiments/overload.ts";
 import { staleReports } from "./bench_experiments/stale_reports.ts";
@@ -13,4 +14,5 @@
   staleReports,
   hotPrefix,
   slopes,
+  groupTrust,
 ];
