Add retry_storm, poison and engine_loss with real processes

Cause: crashes, resends and losses need the daemons themselves. Change: three experiments that start a fleet, send a seeded load, crash engines and count what callers and engines saw.

--- /dev/null
+++ b/packages/standins/src/experiment/real_experiments/index.ts
@@ -0,0 +1,4 @@
+/** Experiments with real processes and the daemons' own decisions. */
+export { engineLoss } from "./engine_loss.ts";
+export { poison } from "./poison.ts";
+export { retryStorm } from "./retry_storm.ts";
