Name prefixes in one way only, and run one load both ways

Cause: routing had its own token count and prefix digests beside those that the instances and engines exchange; nothing used them.

--- a/packages/core/src/request/routing/choose.ts
+++ b/packages/core/src/request/routing/choose.ts
@@ -18,7 +18,7 @@
   estimateTokenMs,
   type RouteRequest,
 } from "./estimate.ts";
-import { sortByRendezvous } from "./prefixes.ts";
+import { sortByRendezvous } from "./hashing.ts";
 import type { EndpointTable, EngineView } from "./table.ts";
 
 /** Where a request runs. */
--- a/packages/core/src/request/routing/index.ts
+++ b/packages/core/src/request/routing/index.ts
@@ -8,13 +8,7 @@
   estimateTokenMs,
   type RouteRequest,
 } from "./estimate.ts";
-export {
-  charactersPerToken,
-  countTokens,
-  digestPrefixes,
-  hashText,
-  sortByRendezvous,
-} from "./prefixes.ts";
+export { sortByRendezvous } from "./hashing.ts";
 export {
   createEndpointTable,
   type EndpointFlags,
--- a/packages/core/src/request/routing/routing.steps.ts
+++ b/packages/core/src/request/routing/routing.steps.ts
@@ -2,16 +2,15 @@
 import assert from "node:assert/strict";
 import { Given, Then, When } from "@cucumber/cucumber";
 import fc from "fast-check";
+import { computePrefixDigests } from "../../connection/endpoint/prefix_digests.ts";
 import {
   EngineRole,
   kvBlockTokens,
   type LoadReport,
 } from "../../types/index.ts";
 import {
-  charactersPerToken,
   chooseRoute,
   createEndpointTable,
-  digestPrefixes,
   type EndpointTable,
   type Route,
 } from "./index.ts";
@@ -222,13 +221,15 @@
 Then(
   "the prefix digests match the snapshot",
   function (this: RoutingWorld): void {
-    const block = "a".repeat(kvBlockTokens * charactersPerToken);
-    const other = "b".repeat(kvBlockTokens * charactersPerToken);
+    const block = "a ".repeat(kvBlockTokens);
+    const other = "b ".repeat(kvBlockTokens);
+    const digest = (prompt: string, model = "drafts"): readonly string[] =>
+      computePrefixDigests({ model, prompt });
     this.matchSnapshot({
-      none: digestPrefixes(block.slice(1), "drafts"),
-      two: digestPrefixes(`${block}${other}rest`, "drafts"),
-      swapped: digestPrefixes(`${other}${block}`, "drafts"),
-      otherModel: digestPrefixes(block, "checks"),
+      none: digest(block.slice(2)),
+      two: digest(`${block}${other}rest`),
+      swapped: digest(`${other}${block}`),
+      otherModel: digest(block, "checks"),
     });
   },
 );
--- a/packages/standins/src/experiment/experiments.ts
+++ b/packages/standins/src/experiment/experiments.ts
@@ -4,7 +4,12 @@
 import { hotPrefix } from "./bench_experiments/hot_prefix.ts";
 import { overload } from "./bench_experiments/overload.ts";
 import { staleReports } from "./bench_experiments/stale_reports.ts";
-import { engineLoss, poison, retryStorm } from "./real_experiments/index.ts";
+import {
+  bothWays,
+  engineLoss,
+  poison,
+  retryStorm,
+} from "./real_experiments/index.ts";
 import type { Experiment } from "./experiment.ts";
 import { slopes } from "./slopes/index.ts";
 
@@ -19,4 +24,5 @@
   retryStorm,
   poison,
   engineLoss,
+  bothWays,
 ];
