Prove hostile input with random faults and bound endless answers

Two faults were found: a stream without the end of an event, and a JSON answer without end, were kept in memory for as long as bytes came (200 MiB in the test). They are now cut at 1 MiB an event and 64 MiB an answer and count as malformed.

--- a/packages/core/src/connection/endpoint/token_events.ts
+++ b/packages/core/src/connection/endpoint/token_events.ts
@@ -14,6 +14,8 @@
 }
 
 const endMarker = "[DONE]";
+/** Most bytes from one event to the end of the next. */
+const maxEventBytes = 1024 * 1024;
 
 /**
  * Yields the events of an answer. Rejects with `RemoteError` and
@@ -28,10 +30,17 @@
     onEvent: (message) => messages.push(message),
   });
   const decoder = new TextDecoder();
+  let pendingBytes = 0;
   try {
     for await (const chunk of answer.body) {
       options.onBytes();
-      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+      const bytes = chunk as Uint8Array;
+      pendingBytes += bytes.length;
+      parser.feed(decoder.decode(bytes, { stream: true }));
+      if (messages.length > 0) pendingBytes = 0;
+      if (pendingBytes > maxEventBytes) {
+        throw new RangeError(`event has more than ${maxEventBytes} bytes`);
+      }
       for (const message of messages.splice(0)) {
         if (message.data === endMarker) return;
         const event = decodeMessage(message, options);
--- a/packages/core/src/connection/http/http_errors.ts
+++ b/packages/core/src/connection/http/http_errors.ts
@@ -13,6 +13,8 @@
 }
 
 const maxMessageLength = 512;
+/** Largest JSON answer, in bytes. */
+const maxAnswerBytes = 64 * 1024 * 1024;
 
 const errorBodySchema = z.object({
   error: z.object({
@@ -76,14 +78,28 @@
   );
 }
 
-/** Reads and validates a JSON answer. */
+/** Reads a body to its end; throws a `RangeError` beyond the bound. */
+async function readBounded(answer: HttpAnswer): Promise<string> {
+  const chunks: Uint8Array[] = [];
+  let length = 0;
+  for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
+    length += chunk.length;
+    if (length > maxAnswerBytes) {
+      throw new RangeError(`answer has more than ${maxAnswerBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Reads and validates a JSON answer of at most `maxAnswerBytes`. */
 export async function readJson<S extends z.ZodType>(
   answer: HttpAnswer,
   options: { readonly call: HttpCall; readonly schema: S },
 ): Promise<z.infer<S>> {
   const { call, schema } = options;
   try {
-    return schema.parse(await answer.body.json());
+    return schema.parse(JSON.parse(await readBounded(answer)));
   } catch (error) {
     throw convertError(error, { sent: true, call });
   }
@@ -106,9 +122,9 @@
 
 function findFailure(error: unknown, call: HttpCall): RemoteFailure {
   if (call.signal?.aborted) return RemoteFailure.Aborted;
-  if (error instanceof z.ZodError || error instanceof SyntaxError) {
-    return RemoteFailure.Malformed;
-  }
+  const isMalformed = error instanceof z.ZodError ||
+    error instanceof SyntaxError || error instanceof RangeError;
+  if (isMalformed) return RemoteFailure.Malformed;
   const code = (error as { code?: unknown } | undefined)?.code;
   const isTimeout = error instanceof DeadlineError ||
     code === "UND_ERR_HEADERS_TIMEOUT" || code === "UND_ERR_BODY_TIMEOUT";
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -11,3 +11,4 @@
   type PageSchema,
   renderSchemaTable,
 } from "./schema_page.ts";
+export { createMutants, type FuzzOptions, getFuzzOptions } from "./mutants.ts";
