--- /dev/null
+++ b/packages/standins/src/integration/authority.steps.ts
@@ -0,0 +1,229 @@
+/** Steps of `authority.feature`, with real processes. */
+import { strict as assert } from "node:assert";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import {
+  type Bundle,
+  ExampleFleet,
+  getOffset,
+  RecordKind,
+  StreamName,
+} from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
+import { type Fleet, type FleetInstance, startFleet } from "../fleet/index.ts";
+import { checkHistory, replayModel } from "../history/index.ts";
+import { listCountedRecords } from "../history/replay_model.ts";
+import { NewConnections } from "../relay/index.ts";
+import { Outage } from "../shared/index.ts";
+
+/** State of one scenario. */
+interface AuthorityWorld {
+  authorityFleet?: Fleet;
+  newestBundle: Bundle;
+  publishedMs: number;
+  /** Versions that each instance reported, without repeats. */
+  versions: Map<string, number[]>;
+}
+
+const timeout = { timeout: 120_000 };
+
+Given(
+  "an authority fleet with {int} instances",
+  timeout,
+  async function (this: AuthorityWorld, instances: number): Promise<void> {
+    this.authorityFleet = await startFleet({
+      fleet: ExampleFleet.Association,
+      instances,
+    });
+    this.newestBundle = this.authorityFleet.bundle;
+    this.versions = new Map();
+    await waitForVersion(this, 1);
+  },
+);
+
+After(timeout, async function (this: Partial<AuthorityWorld>): Promise<void> {
+  const fleet = this.authorityFleet;
+  if (!fleet) return;
+  const { control, calls } = listEntries(fleet);
+  const engines = fleet.engines.map(({ name, standin }) => ({
+    name,
+    orders: standin.listOrders(),
+    conflicts: standin.listConflicts(),
+  }));
+  const runs = fleet.services.flatMap(({ standin }) =>
+    standin.listRuns().flatMap(({ key }) => key ? [key] : [])
+  );
+  await fleet.close();
+  assert.deepEqual(checkHistory({ control, calls }, { engines, runs }), []);
+});
+
+When(
+  "the failure domain of the second instance is cut off from the log",
+  function (this: AuthorityWorld): void {
+    const instances = getFleet(this).listInstances();
+    const domain = instances[1]?.failureDomain;
+    const cut = instances.filter((each) => each.failureDomain === domain);
+    assert(cut.length > 0 && cut.length < instances.length);
+    for (const { logRelay } of cut) {
+      logRelay.setNewConnections(NewConnections.Cut);
+      logRelay.cutAll();
+    }
+  },
+);
+
+When("an operator publishes the next bundle", function (
+  this: AuthorityWorld,
+): void {
+  this.newestBundle = buildNextBundle(this.newestBundle, "next");
+  this.publishedMs = performance.now();
+  getFleet(this).publishBundle(this.newestBundle);
+});
+
+When(
+  "two operators publish different bundles for version {int}",
+  function (this: AuthorityWorld, version: number): void {
+    assert.equal(this.newestBundle.version + 1, version);
+    this.publishedMs = performance.now();
+    for (const note of ["first", "second"]) {
+      getFleet(this).publishBundle(buildNextBundle(this.newestBundle, note));
+    }
+  },
+);
+
+When("the log serves no instance", function (this: AuthorityWorld): void {
+  getFleet(this).log.faults.outage = Outage.Refuse;
+});
+
+When(
+  "the log serves all instances again",
+  function (this: AuthorityWorld): void {
+    getFleet(this).log.faults.outage = Outage.None;
+  },
+);
+
+When("{int} ms pass for the authority fleet", timeout, async function (
+  this: AuthorityWorld,
+  ms: number,
+): Promise<void> {
+  const endMs = performance.now() + ms;
+  await waitUntil("the time passes", async () => {
+    await observeVersions(this);
+    return performance.now() >= endMs;
+  });
+});
+
+When(
+  "the first instance is killed and another one starts",
+  timeout,
+  async function (this: AuthorityWorld): Promise<void> {
+    const fleet = getFleet(this);
+    const first = fleet.listInstances()[0];
+    assert(first);
+    await fleet.killInstance(first);
+    this.publishedMs = performance.now();
+    await fleet.startInstance("entry-late");
+  },
+);
+
+When("another instance starts", timeout, async function (
+  this: AuthorityWorld,
+): Promise<void> {
+  this.publishedMs = performance.now();
+  await getFleet(this).startInstance("entry-late");
+});
+
+When(
+  "a checkpoint covers version {int} and the log forgets what is before it",
+  timeout,
+  async function (this: AuthorityWorld, version: number): Promise<void> {
+    const { log } = getFleet(this);
+    await waitForVersion(this, version);
+    const bundles = listEntries(getFleet(this)).control.length;
+    let edge = 0;
+    await waitUntil("a checkpoint covers the bundle", () => {
+      const { control } = listEntries(getFleet(this));
+      for (const { record } of listCountedRecords(control)) {
+        if (record.kind !== RecordKind.ControlCheckpoint) continue;
+        edge = getOffset(record.upTo);
+      }
+      return edge >= bundles;
+    }, { deadlineMs: 110_000 });
+    log.expire(StreamName.Control, edge);
+  },
+);
+
+Then(
+  "version {int} is in force at every instance within {int} ms",
+  timeout,
+  async function (
+    this: AuthorityWorld,
+    version: number,
+    ms: number,
+  ): Promise<void> {
+    await waitForVersion(this, version);
+    const passedMs = performance.now() - this.publishedMs;
+    assert(passedMs <= ms, `in force after ${passedMs.toFixed(0)} ms`);
+  },
+);
+
+Then(
+  "no instance ever reported an older version than before",
+  async function (this: AuthorityWorld): Promise<void> {
+    await observeVersions(this);
+    for (const [name, versions] of this.versions) {
+      const sorted = versions.toSorted((left, right) => left - right);
+      assert.deepEqual(versions, sorted, name);
+    }
+  },
+);
+
+Then("the log accepted the first bundle of the two", function (
+  this: AuthorityWorld,
+): void {
+  const { bundles } = replayModel(listEntries(getFleet(this)).control);
+  assert.deepEqual(bundles.map(({ note }) => note).slice(1), ["first"]);
+});
+
+function getFleet(world: AuthorityWorld): Fleet {
+  assert(world.authorityFleet);
+  return world.authorityFleet;
+}
+
+function listEntries(fleet: Fleet): Parameters<typeof checkHistory>[0] {
+  return {
+    control: fleet.log.listEntries(StreamName.Control),
+    calls: fleet.log.listEntries(StreamName.Calls),
+  };
+}
+
+function buildNextBundle(bundle: Bundle, note: string): Bundle {
+  const { version } = bundle;
+  return { ...bundle, version: version + 1, parent: version, note };
+}
+
+async function waitForVersion(
+  world: AuthorityWorld,
+  version: number,
+): Promise<void> {
+  await waitUntil(`version ${version} is in force everywhere`, async () => {
+    await observeVersions(world);
+    const names = getFleet(world).listInstances().map(({ name }) => name);
+    return names.every((name) => world.versions.get(name)?.at(-1) === version);
+  });
+}
+
+/** Notes the version that each instance reports now. */
+async function observeVersions(world: AuthorityWorld): Promise<void> {
+  const instances = [...getFleet(world).listInstances()];
+  await Promise.all(instances.map(async (instance) => {
+    const version = await fetchVersion(instance);
+    const versions = world.versions.get(instance.name) ?? [];
+    if (versions.at(-1) !== version) versions.push(version);
+    world.versions.set(instance.name, versions);
+  }));
+}
+
+async function fetchVersion(instance: FleetInstance): Promise<number> {
+  const response = await fetch(`http://${instance.callerAddress}/healthz`);
+  const health = await response.json() as { readonly version: number };
+  return health.version;
+}
