--- a/packages/node/src/process/daemon.ts
+++ b/packages/node/src/process/daemon.ts
@@ -83,7 +83,17 @@
     onFailure: (error) =>
       logEvent(daemonEvents.handlerFailed, { error: String(error) }),
   });
-  const tasks = runTasks(instance, { isStopping: () => isStopping(life) });
+  const tasks = runTasks(instance, {
+    isStopping: () => isStopping(life),
+    readGauges: () => ({
+      inFlight: work.getCount(),
+      controlAgeMs: instance.streams.control.getAgeMs(),
+      version: getHealth().version,
+      usableEngines: instance.table.listViews().filter(({ usable }) =>
+        usable
+      ).length,
+    }),
+  });
   void registerStart(instance, peerServer.address, { life });
   const parts = { instance, life, work, gateway, peerServer, tasks };
   logEvent(daemonEvents.started, {
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -35,6 +35,7 @@
 import type { Environment, Settings } from "../settings/index.ts";
 import { buildVersionView, type VersionView } from "../version/view.ts";
 import { createDemandBook, type DemandBook } from "./demand.ts";
+import { type Metrics, openMetrics } from "./metrics.ts";
 import { createPoolHealthBook, type PoolHealthBook } from "./pool_health.ts";
 import type { ServingParts } from "./serving.ts";
 import {
@@ -61,6 +62,7 @@
   readonly book: CallBook;
   readonly burn: BurnCounters;
   readonly health: PoolHealthBook;
+  readonly metrics: Metrics;
   readonly reserveWeightLoad: ReserveWeightLoad;
   /** Address at which peers reach this instance. */
   readonly peerAddress: string;
@@ -116,6 +118,7 @@
     ending.signal,
   );
   const health = createPoolHealthBook();
+  const metrics = openMetrics(settings.metrics);
   const burn = createBurnCounters({
     instance: name,
     getObjectives: () => getVersion()?.bundle.objectives ?? [],
@@ -140,6 +143,7 @@
     demand,
     burn,
     health,
+    metrics,
     isDraining: (engine) => isEngineDrained(streams.control.getState(), engine),
     silentServices: new Set(),
     isTaking: (endpoint) => !members.isLeaving(endpoint),
@@ -158,6 +162,7 @@
     book,
     burn,
     health,
+    metrics,
     reserveWeightLoad: weights.reserveWeightLoad,
     peerAddress,
     serving,
@@ -167,6 +172,7 @@
     async close(): Promise<void> {
       ending.abort();
       await streams.stop();
+      metrics.close();
       await Promise.all([
         clients.close(),
         log.close(),
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -24,6 +24,7 @@
 import type { Either } from "purify-ts";
 import type { VersionView } from "../version/view.ts";
 import type { DemandBook } from "./demand.ts";
+import type { Metrics } from "./metrics.ts";
 import type { PoolHealthBook } from "./pool_health.ts";
 
 /** What serving uses for as long as the process lives. */
@@ -34,6 +35,7 @@
   readonly demand: DemandBook;
   readonly burn: BurnCounters;
   readonly health: PoolHealthBook;
+  readonly metrics: Metrics;
   readonly isTaking: (endpoint: EndpointName) => boolean;
   /** Whether the control state drains an engine at this moment. */
   readonly isDraining: (engine: EndpointName) => boolean;
@@ -58,12 +60,15 @@
     model: call.model,
     deadlineMs: call.deadlineMs,
   });
+  const startMs = performance.now();
+  let firstTokenMs: number | undefined;
   let outputTokens = 0;
   let end: BurnCallEnd = { outcome: Outcome.Unknown, abandoned: true };
   try {
     for await (const event of streamCompletion(call, completion, { signal })) {
       if (event.kind === "token") {
         outputTokens++;
+        firstTokenMs ??= performance.now() - startMs;
         burn.noteTokens();
       }
       if (event.kind === "finish") end = { outcome: Outcome.Done };
@@ -72,6 +77,13 @@
     }
   } finally {
     burn.recordEnd(end);
+    parts.metrics.noteRequest({
+      target: call.model,
+      end: end.refusal ?? end.outcome,
+      durationMs: performance.now() - startMs,
+      firstTokenMs,
+      outputTokens,
+    });
     const refused = end.refusal !== undefined;
     const demand = { promptTokens: call.promptTokens, outputTokens, refused };
     for (const pool of version.poolsByModel.get(call.model) ?? []) {
@@ -98,11 +110,18 @@
     model: call.service.name,
     deadlineMs: caller.deadline_ms,
   });
+  const startMs = performance.now();
   const result = await runCall(call, createCallContext(version, parts));
-  burn.recordEnd(result.caseOf<BurnCallEnd>({
+  const end = result.caseOf<BurnCallEnd>({
     Left: describeRefusal,
     Right: ({ outcome }) => ({ outcome }),
-  }));
+  });
+  burn.recordEnd(end);
+  parts.metrics.noteRequest({
+    target: call.service.name,
+    end: end.refusal ?? end.outcome,
+    durationMs: performance.now() - startMs,
+  });
   return result;
 }
 
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -21,6 +21,7 @@
 import { createPeersParts } from "./exchange.ts";
 import type { Instance } from "./instance.ts";
 import type { VersionView } from "../version/view.ts";
+import type { InstanceGauges } from "./metrics.ts";
 import { keepPools } from "./pools.ts";
 import { createCallContext } from "./serving.ts";
 
@@ -32,7 +33,10 @@
 /** Starts all tasks; resolves once all have ended after the instance's signal. */
 export async function runTasks(
   instance: Instance,
-  options: { readonly isStopping: () => boolean },
+  options: {
+    readonly isStopping: () => boolean;
+    readonly readGauges: () => InstanceGauges;
+  },
 ): Promise<void> {
   const { signal } = instance.ending;
   const tasks: Readonly<Record<string, () => Promise<void>>> = {
@@ -43,6 +47,7 @@
     burn: () => keepBurnSummaries(instance),
     drains: () => keepDrainsConfirmed(instance),
     pools: () => keepPools(instance, options),
+    gauges: () => instance.metrics.keepGauges(options.readGauges, signal),
   };
   const running = Object.entries(tasks).map(([name, run]) =>
     keepRunning(name, run, { signal })
