Let suspect requests wait for an engine of their own

Cause: after a crash each neighbour is suspect; one that found no engine without a suspect was refused at once, and one that only waited for the exchange of evidence counted as in flight at the next crash.

--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -33,6 +33,8 @@
 const tokenSlackMs = 2_000;
 /** Multiple of an estimate after which silence is no longer explained. */
 const stallFactor = 4;
+/** Longest wait of a suspect request for an engine of its own, in ms. */
+const trialPatienceMs = 15_000;
 const trialRetryAfterMs = 2_000;
 const suspectRetryAfterMs = 60_000;
 
@@ -106,20 +108,20 @@
   const request = buildRouteRequest(call, context);
   const choose = (
     exclude: ReadonlySet<EndpointName>,
-  ): Either<Refusal, CompletionRoute> =>
+  ): Either<Refusal, Route> =>
     chooseRoute(request, context.table, {
       random: context.random,
       engines: version.listEngines(call),
       exclude,
       ownDomain: context.ownDomain,
       getDelayMs: version.getDelayMs,
-    }).map((route) => reserveRoute(route, call, { context }));
+    });
   if (verdict === SuspectVerdict.Alone) {
     return await chooseTrial(call, context, { choose, excluded });
   }
   const route = choose(excluded);
   route.ifRight(({ engine }) => context.budget.noteAccepted(engine));
-  return route;
+  return route.map((chosen) => reserveRoute(chosen, call, { context }));
 }
 
 /** Counts the request at its engines without a gap after their choice, which drains rely on. */
@@ -137,34 +139,52 @@
   return { ...route, release: () => removals.forEach((remove) => remove()) };
 }
 
-/** Finds an engine on which a suspect request is the only suspect. */
+/** Ways to choose an engine for a suspect request. */
+interface TrialOptions {
+  readonly choose: (
+    exclude: ReadonlySet<EndpointName>,
+  ) => Either<Refusal, Route>;
+  readonly excluded: ReadonlySet<EndpointName>;
+}
+
+/** Waits, for a bounded time, for an engine on which a suspect request is the only suspect. */
 async function chooseTrial(
   call: CompletionCall,
   context: CompletionContext,
-  options: {
-    readonly choose: (
-      exclude: ReadonlySet<EndpointName>,
-    ) => Either<Refusal, CompletionRoute>;
-    readonly excluded: ReadonlySet<EndpointName>;
-  },
+  options: TrialOptions,
 ): Promise<Either<Refusal, CompletionRoute>> {
-  const tried = new Set(options.excluded);
-  while (true) {
-    const route = options.choose(tried);
-    if (route.isLeft()) return Left(refuseTrial());
-    const chosen = route.unsafeCoerce();
-    if (context.suspects.openTrial(call.digest, chosen.engine)) {
-      // Another instance may have opened a trial of the same request meanwhile.
-      await waitFor(context.exchangeMs);
-      if (context.suspects.checkTrial(call.digest)) {
-        return Right({ ...chosen, prefillOn: undefined });
+  const patienceMs = Math.min(trialPatienceMs, call.deadlineMs / 2);
+  const giveUpMs = performance.now() + patienceMs;
+  while (performance.now() < giveUpMs) {
+    const opened = openTrial(call, context, options);
+    // Another instance may open a trial of the request, or on the engine, meanwhile.
+    await waitFor(context.exchangeMs * (1 + context.random()));
+    const verdict = context.suspects.judge(call.digest);
+    if (opened && verdict !== SuspectVerdict.Refused) {
+      const usable = context.table.getView(opened.engine)?.usable ?? false;
+      if (usable && context.suspects.checkTrial(call.digest)) {
+        const route = { ...opened, prefillOn: undefined };
+        return Right(reserveRoute(route, call, { context }));
       }
-      context.suspects.closeTrial(call.digest);
-      chosen.release();
-      return Left(refuseTrial());
     }
-    chosen.release();
-    tried.add(chosen.engine);
+    if (opened) context.suspects.closeTrial(call.digest);
+    if (verdict === SuspectVerdict.Refused) return Left(refuseSuspect());
+  }
+  return Left(refuseTrial());
+}
+
+/** Opens a trial on the best engine that has none; does not count as in flight there. */
+function openTrial(
+  call: CompletionCall,
+  context: CompletionContext,
+  options: TrialOptions,
+): Route | undefined {
+  const tried = new Set(options.excluded);
+  while (true) {
+    const route = options.choose(tried).toMaybe().extract();
+    if (!route) return undefined;
+    if (context.suspects.openTrial(call.digest, route.engine)) return route;
+    tried.add(route.engine);
   }
 }
 
