Keep a process registered, and reach engines by the pinned version

Cause: a start was recorded once, so a process that others took for gone stayed off the list, and its calls would have been settled by others; a request that pinned an older bundle lost the address of an engine that a later one dropped. Change: registration is a task that records the start again; a process that is not registered refuses first runs as not run; completions reach engines by the addresses of their own version. Conclusion: who settles a call and who may begin one follow from one list.

--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -45,7 +45,6 @@
   readonly budget: RetryBudget;
   readonly suspects: Suspects;
   readonly inFlight: InFlight;
-  readonly getEngine: (engine: EndpointName) => EngineClient;
   readonly ownDomain: FailureDomain;
   readonly random: () => number;
   /** Time in which evidence reaches the other instances, in ms. */
@@ -54,6 +53,7 @@
 
 /** What the version pinned by a request says of its route. */
 export interface VersionRoutes {
+  readonly getEngine: (engine: EndpointName) => EngineClient;
   readonly listEngines: (call: CompletionCall) => ReadonlySet<EndpointName>;
   readonly getDelayMs: (from: FailureDomain, to: FailureDomain) => number;
 }
@@ -67,11 +67,12 @@
     admit: (call, signal) => admitCall(call, context, { signal }),
     choose: (call, excluded) =>
       chooseEngine(call, context, { version, excluded }),
-    getEngine: context.getEngine,
+    getEngine: version.getEngine,
     openWork: (call, route) => openAttemptWork(call, route, { context }),
     allowRetry: (engine) =>
       context.budget.allowRepeat(engine, RepeatKind.Retry),
-    noteAttemptEnd: (call, attempt) => noteEnd(call, attempt, { context }),
+    noteAttemptEnd: (call, attempt) =>
+      noteEnd(call, attempt, { context, version }),
   };
 }
 
@@ -251,13 +252,16 @@
 async function noteEnd(
   call: CompletionCall,
   attempt: { readonly engine: EndpointName; readonly end: AttemptEnd },
-  options: { readonly context: CompletionContext },
+  options: {
+    readonly context: CompletionContext;
+    readonly version: VersionRoutes;
+  },
 ): Promise<void> {
   const { suspects, inFlight } = options.context;
   if (attempt.end === AttemptEnd.Finished) suspects.noteCompleted(call.digest);
   if (attempt.end === AttemptEnd.Lost) {
     inFlight.noteLoss(attempt.engine, call.digest);
-    await noteCrashIfGone(attempt.engine, options.context);
+    await noteCrashIfGone(attempt.engine, options);
   }
   suspects.closeTrial(call.digest);
 }
@@ -265,14 +269,17 @@
 /** Asks an engine for its state, so that a retry knows whether the request crashed it. */
 async function noteCrashIfGone(
   engine: EndpointName,
-  context: CompletionContext,
+  { context, version }: {
+    readonly context: CompletionContext;
+    readonly version: VersionRoutes;
+  },
 ): Promise<void> {
   const known = context.table.getView(engine)?.report?.startId;
   if (known === undefined) return;
   const probe = new AbortController();
   const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
   try {
-    const state = await context.getEngine(engine).fetchState(probe.signal);
+    const state = await version.getEngine(engine).fetchState(probe.signal);
     if (state.startId === known) return;
   } catch {
     // An engine that cannot answer counts as crashed until it shows otherwise.
--- a/packages/node/src/process/daemon.ts
+++ b/packages/node/src/process/daemon.ts
@@ -23,7 +23,6 @@
 import { runTasks } from "./tasks.ts";
 import { createWorkCount, type WorkCount } from "./work_count.ts";
 
-const startRetryMs = 500;
 const noBundleRetryMs = 1_000;
 const stopRecordTimeoutMs = 3_000;
 
@@ -36,9 +35,8 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Where an instance is between its start and its end. */
+/** Where a started instance is on its way to its end. */
 enum Phase {
-  Starting = "starting",
   Serving = "serving",
   /** Not ready, but still taking what the balancer sends. */
   Leaving = "leaving",
@@ -55,7 +53,7 @@
   settings: Settings,
   environment: Environment,
 ): Promise<Daemon> {
-  const life: Life = { phase: Phase.Starting };
+  const life: Life = { phase: Phase.Serving };
   // The peers' listener needs the instance, whose name needs no port.
   const started: { instance?: Instance } = {};
   const peerServer = await openPeerServer(settings.peers, {
@@ -94,7 +92,6 @@
       ).length,
     }),
   });
-  void registerStart(instance, peerServer.address, { life });
   const parts = { instance, life, work, gateway, peerServer, tasks };
   logEvent(daemonEvents.started, {
     instance: instance.name,
@@ -177,31 +174,6 @@
     : "no engine is usable";
 }
 
-/** Records the start, which tells every reader that the address has a new process. */
-async function registerStart(
-  instance: Instance,
-  peerAddress: string,
-  { life }: { readonly life: Life },
-): Promise<void> {
-  const { control } = instance.streams;
-  const { signal } = instance.ending;
-  await control.waitUntilStarted();
-  while (!signal.aborted) {
-    try {
-      await control.append([{
-        kind: RecordKind.InstanceStarted,
-        instance: instance.name,
-        failureDomain: instance.settings.failure_domain,
-        peerAddress,
-      }]);
-      break;
-    } catch {
-      await waitFor(startRetryMs, signal);
-    }
-  }
-  if (life.phase === Phase.Starting) life.phase = Phase.Serving;
-}
-
 interface StopParts {
   readonly instance: Instance;
   readonly life: Life;
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -14,9 +14,7 @@
   createMembership,
   createRetryBudget,
   createSuspects,
-  type EndpointName,
   type EndpointTable,
-  type EngineClient,
   type InFlight,
   type InstanceName,
   isEngineDrained,
@@ -37,6 +35,7 @@
 import { createDemandBook, type DemandBook } from "./demand.ts";
 import { type Metrics, openMetrics } from "./metrics.ts";
 import { createPoolHealthBook, type PoolHealthBook } from "./pool_health.ts";
+import { isRegistered } from "./registration.ts";
 import type { ServingParts } from "./serving.ts";
 import {
   createSignatureChecks,
@@ -69,7 +68,6 @@
   readonly serving: ServingParts;
   /** Bundle in force, indexed; undefined before the first. */
   readonly getVersion: () => VersionView | undefined;
-  readonly getEngine: (engine: EndpointName) => EngineClient;
   /** Aborted when tasks have to end. */
   readonly ending: AbortController;
   readonly close: () => Promise<void>;
@@ -105,11 +103,6 @@
     onLoad: (engine, report) => table.observeReport(engine, report),
     onLeaving: (endpoint) => members.noteLeaving(endpoint),
   });
-  const getEngine = (engine: EndpointName): EngineClient =>
-    clients.openEngine(
-      engine,
-      getVersion()?.engines.get(engine)?.engine.address ?? "",
-    );
   const suspects = createSuspects({ instance: name });
   const inFlight = createInFlight();
   const demand = createDemandBook(name);
@@ -128,7 +121,6 @@
       table,
       suspects,
       inFlight,
-      getEngine,
       admission: createAdmission({
         getCapacity: (own) =>
           computeCapacity(table, { instances: members.countInstances(), own }),
@@ -145,6 +137,7 @@
     health,
     metrics,
     isDraining: (engine) => isEngineDrained(streams.control.getState(), engine),
+    isRegistered: () => isRegistered({ name, streams }),
     silentServices: new Set(),
     isTaking: (endpoint) => !members.isLeaving(endpoint),
   };
@@ -167,7 +160,6 @@
     peerAddress,
     serving,
     getVersion,
-    getEngine,
     ending,
     async close(): Promise<void> {
       ending.abort();
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -12,21 +12,26 @@
   createCompletionParts,
   type EndpointClients,
   type EndpointName,
+  type EngineClient,
   type FailureDomain,
+  isIdempotent,
   logEvent,
   Outcome,
   type Refusal,
+  RefusalReason,
   runCall,
   type ServiceCall,
   type ServiceEndpoint,
   streamCompletion,
 } from "@trefoildoor/core";
-import type { Either } from "purify-ts";
+import { type Either, Left } from "purify-ts";
 import type { VersionView } from "../version/view.ts";
 import type { DemandBook } from "./demand.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PoolHealthBook } from "./pool_health.ts";
 
+const registrationRetryMs = 1_000;
+
 /** What serving uses for as long as the process lives. */
 export interface ServingParts {
   readonly completion: CompletionContext;
@@ -36,6 +41,8 @@
   readonly burn: BurnCounters;
   readonly health: PoolHealthBook;
   readonly metrics: Metrics;
+  /** Whether every reader of the log counts this process among the instances. */
+  readonly isRegistered: () => boolean;
   readonly isTaking: (endpoint: EndpointName) => boolean;
   /** Whether the control state drains an engine at this moment. */
   readonly isDraining: (engine: EndpointName) => boolean;
@@ -51,6 +58,7 @@
 ): AsyncGenerator<CompletionEvent> {
   const { parts, signal } = options;
   const completion = createCompletionParts(parts.completion, {
+    getEngine: (engine) => openPinnedEngine(version, engine, { parts }),
     listEngines: ({ model }) => listEngines(version, model, { parts }),
     getDelayMs: (from, to) => getDelayMs(version, { from, to }),
   });
@@ -93,6 +101,16 @@
   }
 }
 
+/** Reaches an engine by the pinned version, which a later bundle may have dropped. */
+function openPinnedEngine(
+  version: VersionView,
+  engine: EndpointName,
+  { parts }: { readonly parts: ServingParts },
+): EngineClient {
+  const address = version.engines.get(engine)?.engine.address ?? "";
+  return parts.clients.openEngine(engine, address);
+}
+
 function describeRefusal({ outcome, reason }: Refusal): BurnCallEnd {
   return { outcome, refusal: reason };
 }
@@ -111,7 +129,7 @@
     deadlineMs: caller.deadline_ms,
   });
   const startMs = performance.now();
-  const result = await runCall(call, createCallContext(version, parts));
+  const result = await runRegistered(call, version, { parts });
   const end = result.caseOf<BurnCallEnd>({
     Left: describeRefusal,
     Right: ({ outcome }) => ({ outcome }),
@@ -125,6 +143,26 @@
   return result;
 }
 
+/**
+ * Others settle the calls of processes that are not registered, so such a
+ * process begins none that must not repeat.
+ */
+async function runRegistered(
+  call: ServiceCall,
+  version: VersionView,
+  { parts }: { readonly parts: ServingParts },
+): Promise<Either<Refusal, CallAnswer>> {
+  if (isIdempotent(call) || parts.isRegistered()) {
+    return await runCall(call, createCallContext(version, parts));
+  }
+  return Left({
+    reason: RefusalReason.LogUnavailable,
+    outcome: Outcome.NotRun,
+    message: "The instance is not registered in the log",
+    retryAfterMs: registrationRetryMs,
+  });
+}
+
 /** Puts together what calls need under one version. */
 export function createCallContext(
   version: VersionView,
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -23,6 +23,7 @@
 import type { VersionView } from "../version/view.ts";
 import type { InstanceGauges } from "./metrics.ts";
 import { keepPools } from "./pools.ts";
+import { keepRegistered } from "./registration.ts";
 import { createCallContext } from "./serving.ts";
 
 type LookUpCall = KeepSettledOptions["lookUp"];
@@ -42,6 +43,7 @@
   const tasks: Readonly<Record<string, () => Promise<void>>> = {
     members: () => instance.members.keep(signal),
     peers: () => keepPeers(createPeersParts(instance, options), signal),
+    registration: () => keepRegistered(instance),
     flags: () => keepFlags(instance),
     calls: () => keepCalls(instance),
     burn: () => keepBurnSummaries(instance),
