Bound a stream's silence with one timer, and test a completion's attempts

Cause: each token set and cleared a timer; and a stream that could not resume was taken for refused, so its engine was not probed for a crash. Change: one interval for each stream ends it by its signal; the time that the caller takes does not count; the first error of an attempt decides its end. A feature on the paused clock holds the events of seven kinds of attempt.

--- a/packages/core/src/request/completion/attempt.ts
+++ b/packages/core/src/request/completion/attempt.ts
@@ -8,7 +8,7 @@
   RemoteError,
   RemoteFailure,
 } from "../../types/index.ts";
-import { withProgressBound } from "./bounds.ts";
+import { streamWithProgress } from "./bounds.ts";
 import type {
   AttemptWork,
   CompletionCall,
@@ -40,20 +40,26 @@
   const work = parts.openWork(start.call, start.route);
   const attemptId = randomUUID();
   let finished = false;
+  let broken: unknown;
   try {
     const request = await buildRequest(start, { parts, attemptId });
     for (let resumes = 0; !finished; resumes++) {
       try {
-        const source = resumes === 0
-          ? engine.generate(request, start.signal)
-          : engine.resume(
-            { attemptId, fromIndex: start.delivered.length },
-            start.signal,
-          );
+        const source = streamWithProgress({
+          open: (signal) =>
+            resumes === 0 ? engine.generate(request, signal) : engine.resume(
+              { attemptId, fromIndex: start.delivered.length },
+              signal,
+            ),
+          signal: start.signal,
+          getBoundMs: work.getStallMs,
+        });
         yield* passEvents(source, { start, work });
         finished = true;
       } catch (error) {
-        if (!canResume(error, start) || resumes === maxResumes) throw error;
+        // What broke the stream says more than what kept it from resuming.
+        broken ??= error;
+        if (!canResume(error, start) || resumes === maxResumes) throw broken;
       }
     }
   } finally {
@@ -96,7 +102,7 @@
   source: AsyncIterable<GenerateEvent>,
   { start, work }: { readonly start: AttemptStart; readonly work: AttemptWork },
 ): AsyncGenerator<GenerateEvent> {
-  for await (const event of withProgressBound(source, work.getStallMs)) {
+  for await (const event of source) {
     if (event.kind === "finish") {
       yield event;
       return;
--- a/packages/core/src/request/completion/bounds.ts
+++ b/packages/core/src/request/completion/bounds.ts
@@ -1,58 +1,49 @@
 /** Bounds on waiting for the next event of a stream. */
 import { Effect, RemoteError, RemoteFailure } from "../../types/index.ts";
 
+/** Time between two looks at a stream's progress, in ms. */
+const checkIntervalMs = 100;
+
+/** A stream and how long it may be silent. */
+export interface BoundedStream<T> {
+  /** Opens the stream; it must end with a rejection when the signal aborts. */
+  readonly open: (signal: AbortSignal) => AsyncIterable<T>;
+  /** Aborts when nobody wants the stream any more. */
+  readonly signal: AbortSignal;
+  /** Longest silence that is explained at this moment, in ms. */
+  readonly getBoundMs: () => number;
+}
+
 /**
- * Passes a stream's events on and rejects with a timeout when the next one
- * takes longer than `getBoundMs()` tells. The source is closed on every exit.
+ * Passes a stream's events on and rejects with a timeout once it is silent for
+ * longer than its bound. One timer serves the whole stream, because a timer for
+ * each event costs more than the event.
  */
-export async function* withProgressBound<T>(
-  source: AsyncIterable<T>,
-  getBoundMs: () => number,
+export async function* streamWithProgress<T>(
+  stream: BoundedStream<T>,
 ): AsyncGenerator<T> {
-  const iterator = source[Symbol.asyncIterator]();
-  let stalled = false;
+  const stalled = new AbortController();
+  // Infinite while the consumer has an event: its time is not the stream's.
+  let waitingSinceMs = performance.now();
+  const timer = setInterval(() => {
+    const silentMs = performance.now() - waitingSinceMs;
+    if (silentMs > stream.getBoundMs()) stalled.abort();
+  }, checkIntervalMs);
+  const signal = AbortSignal.any([stream.signal, stalled.signal]);
   try {
-    while (true) {
-      const result = await waitForNext(iterator, getBoundMs()).catch(
-        (error: unknown) => {
-          stalled = isStall(error);
-          throw error;
-        },
-      );
-      if (result.done) return;
-      yield result.value;
+    for await (const event of stream.open(signal)) {
+      waitingSinceMs = Infinity;
+      yield event;
+      waitingSinceMs = performance.now();
     }
+  } catch (error) {
+    if (!stalled.signal.aborted) throw error;
+    throw new RemoteError("Stream made no progress that its load explains", {
+      failure: RemoteFailure.Timeout,
+      effect: Effect.Unknown,
+      cause: error,
+    });
   } finally {
-    // A stalled source would never answer its return call.
-    const closing = iterator.return?.();
-    if (stalled) closing?.catch(() => undefined);
-    else await closing;
-  }
-}
-
-function isStall(error: unknown): boolean {
-  return error instanceof RemoteError &&
-    error.failure === RemoteFailure.Timeout;
-}
-
-async function waitForNext<T>(
-  iterator: AsyncIterator<T>,
-  boundMs: number,
-): Promise<IteratorResult<T>> {
-  let timer: ReturnType<typeof setTimeout> | undefined;
-  const stall = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => {
-      reject(
-        new RemoteError(`No progress for ${boundMs} ms`, {
-          failure: RemoteFailure.Timeout,
-          effect: Effect.Unknown,
-        }),
-      );
-    }, boundMs);
-  });
-  try {
-    return await Promise.race([iterator.next(), stall]);
-  } finally {
-    clearTimeout(timer);
+    clearInterval(timer);
   }
 }
--- /dev/null
+++ b/packages/core/src/request/completion/completion.steps.ts
@@ -0,0 +1,293 @@
+/** Steps of `completion.feature`. */
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import { Left, Right } from "purify-ts";
+import { bundleSchema } from "../../types/index.ts";
+import {
+  type BundleCaller,
+  Effect,
+  type EngineClient,
+  FinishReason,
+  type GenerateEvent,
+  Outcome,
+  Priority,
+  RefusalReason,
+  RemoteError,
+  RemoteFailure,
+} from "../../types/index.ts";
+import { streamCompletion } from "./run.ts";
+import type { CompletionCall, CompletionParts } from "./types.ts";
+
+/** How an engine's streams behave. */
+interface EngineScript {
+  readonly breaksAfter?: number;
+  readonly silentAfter?: number;
+  readonly skips?: number;
+  readonly refuses?: boolean;
+  readonly resumes?: boolean;
+}
+
+/** State of one scenario. */
+interface CompletionWorld {
+  completionClock?: PausedClock;
+  scripts: Map<string, EngineScript>;
+  history: unknown[];
+  matchSnapshot: (received: unknown) => void;
+}
+
+const stallMs = 5_000;
+const stepMs = 100;
+const mostSteps = 10_000;
+
+Before(function (this: CompletionWorld): void {
+  this.scripts = new Map();
+  this.history = [];
+});
+
+After(function (this: CompletionWorld): void {
+  this.completionClock?.uninstall();
+});
+
+Given(
+  "an engine {string} that answers",
+  function (this: CompletionWorld, name: string): void {
+    this.scripts.set(name, {});
+  },
+);
+
+Given(
+  "an engine {string} that refuses",
+  function (this: CompletionWorld, name: string): void {
+    this.scripts.set(name, { refuses: true });
+  },
+);
+
+Given(
+  "an engine {string} whose stream breaks after {int} tokens and resumes",
+  function (this: CompletionWorld, name: string, breaksAfter: number): void {
+    this.scripts.set(name, { breaksAfter, resumes: true });
+  },
+);
+
+Given(
+  "an engine {string} whose stream breaks after {int} tokens and is gone",
+  function (this: CompletionWorld, name: string, breaksAfter: number): void {
+    this.scripts.set(name, { breaksAfter, resumes: false });
+  },
+);
+
+Given(
+  "an engine {string} whose stream falls silent after {int} tokens and resumes",
+  function (this: CompletionWorld, name: string, silentAfter: number): void {
+    this.scripts.set(name, { silentAfter, resumes: true });
+  },
+);
+
+Given(
+  "an engine {string} whose stream falls silent after {int} tokens and is gone",
+  function (this: CompletionWorld, name: string, silentAfter: number): void {
+    this.scripts.set(name, { silentAfter, resumes: false });
+  },
+);
+
+Given(
+  "an engine {string} whose stream skips token {int} and is gone",
+  function (this: CompletionWorld, name: string, skips: number): void {
+    this.scripts.set(name, { skips });
+  },
+);
+
+When(
+  "a completion of {int} tokens runs",
+  async function (this: CompletionWorld, tokens: number): Promise<void> {
+    await runCompletion(this, { tokens });
+  },
+);
+
+When(
+  "a completion of {int} tokens runs for a caller that takes {int} ms for each token",
+  async function (
+    this: CompletionWorld,
+    tokens: number,
+    readMs: number,
+  ): Promise<void> {
+    await runCompletion(this, { tokens, readMs });
+  },
+);
+
+When(
+  "a completion of {int} tokens runs with a deadline of {int} ms",
+  async function (
+    this: CompletionWorld,
+    tokens: number,
+    deadlineMs: number,
+  ): Promise<void> {
+    await runCompletion(this, { tokens, deadlineMs });
+  },
+);
+
+Then(
+  "the events of the completion match the snapshot",
+  function (this: CompletionWorld): void {
+    this.matchSnapshot(this.history);
+  },
+);
+
+async function runCompletion(
+  world: CompletionWorld,
+  options: {
+    readonly tokens: number;
+    readonly readMs?: number;
+    readonly deadlineMs?: number;
+  },
+): Promise<void> {
+  const clock = pauseClock();
+  world.completionClock = clock;
+  const call = buildCall(options);
+  const signal = new AbortController().signal;
+  let ended = false;
+  const reading = (async (): Promise<void> => {
+    for await (
+      const event of streamCompletion(call, buildParts(world), { signal })
+    ) {
+      world.history.push(event);
+      if (options.readMs) {
+        await new Promise((resolve) => setTimeout(resolve, options.readMs));
+      }
+    }
+    ended = true;
+  })();
+  for (let step = 0; !ended && step < mostSteps; step++) {
+    await clock.tickAsync(stepMs);
+  }
+  if (!ended) throw new Error("completion did not end");
+  await reading;
+}
+
+function buildCall(
+  options: { readonly tokens: number; readonly deadlineMs?: number },
+): CompletionCall {
+  return {
+    requestId: "request",
+    caller: buildCaller(),
+    model: "reader",
+    prompt: "free tents",
+    promptTokens: 2,
+    prefixes: [],
+    maxTokens: options.tokens,
+    priority: Priority.Normal,
+    deadlineMs: options.deadlineMs ?? 3_600_000,
+    digest: "digest",
+  };
+}
+
+function buildCaller(): BundleCaller {
+  return bundleSchema.shape.callers.unwrap().element.parse({
+    name: "shop",
+    "key_sha256": "0".repeat(64),
+  });
+}
+
+function buildParts(world: CompletionWorld): CompletionParts {
+  return {
+    admit: () =>
+      Promise.resolve(Right({ noteFirstToken: () => {}, close: () => {} })),
+    choose: (_call, excluded) => {
+      const engine = [...world.scripts.keys()].find((name) =>
+        !excluded.has(name)
+      );
+      if (engine === undefined) {
+        return Promise.resolve(Left({
+          reason: RefusalReason.NoEndpoint,
+          outcome: Outcome.NotRun,
+          message: "No engine is left",
+        }));
+      }
+      const estimates = {
+        expectedFirstTokenMs: 0,
+        expectedTokenMs: 0,
+        cachedTokens: 0,
+      };
+      return Promise.resolve(
+        Right({ engine, ...estimates, release: () => {} }),
+      );
+    },
+    getEngine: (name) => buildEngine(name, world),
+    openWork: () => ({
+      noteFirstToken: () => {},
+      noteToken: () => {},
+      close: () => {},
+      getStallMs: () => stallMs,
+    }),
+    allowRetry: () => true,
+    noteAttemptEnd: (_call, { engine, end }) => {
+      world.history.push({ attempt: engine, end });
+      return Promise.resolve();
+    },
+  };
+}
+
+function buildEngine(name: string, world: CompletionWorld): EngineClient {
+  const script = world.scripts.get(name) ?? {};
+  const unused = (): Promise<never> =>
+    Promise.reject(new Error("not part of this test"));
+  return {
+    generate: (request, signal) => {
+      world.history.push({ generate: name, after: request.resumeTokens });
+      const from = request.resumeTokens?.length ?? 0;
+      return generateEvents(script, { from, to: request.maxTokens, signal });
+    },
+    resume: ({ fromIndex }, signal) => {
+      world.history.push({ resume: name, fromIndex });
+      const next = script.resumes ? {} : { refuses: true };
+      // A stream that is taken up again may begin with a token that was passed on.
+      return generateEvents(next, {
+        from: Math.max(0, fromIndex - 1),
+        to: 5,
+        signal,
+      });
+    },
+    cancel: () => {
+      world.history.push({ cancel: name });
+      return Promise.resolve();
+    },
+    fetchLoad: unused,
+    fetchState: unused,
+    order: unused,
+    exportKv: unused,
+  };
+}
+
+async function* generateEvents(
+  script: EngineScript,
+  options: {
+    readonly from: number;
+    readonly to: number;
+    readonly signal: AbortSignal;
+  },
+): AsyncGenerator<GenerateEvent> {
+  if (script.refuses) throw makeError(RemoteFailure.Busy, Effect.None);
+  for (let index = options.from; index < options.to; index++) {
+    if (index === script.breaksAfter) {
+      throw makeError(RemoteFailure.Unreachable, Effect.Unknown);
+    }
+    if (index === script.silentAfter) await waitForAbort(options.signal);
+    if (index !== script.skips) {
+      yield { kind: "token", index, text: `t${index}` };
+    }
+  }
+  yield { kind: "finish", reason: FinishReason.Length, promptTokens: 2 };
+}
+
+function waitForAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener(
+      "abort",
+      () => reject(makeError(RemoteFailure.Aborted, Effect.Unknown)),
+    );
+  });
+}
+
+function makeError(failure: RemoteFailure, effect: Effect): RemoteError {
+  return new RemoteError(failure, { failure, effect });
+}
