--- a/packages/standins/src/integration/authority.steps.ts
+++ b/packages/standins/src/integration/authority.steps.ts
@@ -2,29 +2,28 @@
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
-  type Bundle,
   ExampleFleet,
   getOffset,
   RecordKind,
   StreamName,
 } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
-import { type Fleet, type FleetInstance, startFleet } from "../fleet/index.ts";
+import { startFleet } from "../fleet/index.ts";
 import { checkHistory, replayModel } from "../history/index.ts";
 import { listCountedRecords } from "../history/replay_model.ts";
 import { NewConnections } from "../relay/index.ts";
 import { Outage } from "../shared/index.ts";
+import {
+  authorityTimeoutMs,
+  type AuthorityWorld,
+  buildNextBundle,
+  getFleet,
+  listEntries,
+  observeVersions,
+  waitForVersion,
+} from "./authority_world.ts";
 
-/** State of one scenario. */
-interface AuthorityWorld {
-  authorityFleet?: Fleet;
-  newestBundle: Bundle;
-  publishedMs: number;
-  /** Versions that each instance reported, without repeats. */
-  versions: Map<string, number[]>;
-}
-
-const timeout = { timeout: 120_000 };
+const timeout = { timeout: authorityTimeoutMs };
 
 Given(
   "an authority fleet with {int} instances",
@@ -182,48 +181,3 @@
   const { bundles } = replayModel(listEntries(getFleet(this)).control);
   assert.deepEqual(bundles.map(({ note }) => note).slice(1), ["first"]);
 });
-
-function getFleet(world: AuthorityWorld): Fleet {
-  assert(world.authorityFleet);
-  return world.authorityFleet;
-}
-
-function listEntries(fleet: Fleet): Parameters<typeof checkHistory>[0] {
-  return {
-    control: fleet.log.listEntries(StreamName.Control),
-    calls: fleet.log.listEntries(StreamName.Calls),
-  };
-}
-
-function buildNextBundle(bundle: Bundle, note: string): Bundle {
-  const { version } = bundle;
-  return { ...bundle, version: version + 1, parent: version, note };
-}
-
-async function waitForVersion(
-  world: AuthorityWorld,
-  version: number,
-): Promise<void> {
-  await waitUntil(`version ${version} is in force everywhere`, async () => {
-    await observeVersions(world);
-    const names = getFleet(world).listInstances().map(({ name }) => name);
-    return names.every((name) => world.versions.get(name)?.at(-1) === version);
-  });
-}
-
-/** Notes the version that each instance reports now. */
-async function observeVersions(world: AuthorityWorld): Promise<void> {
-  const instances = [...getFleet(world).listInstances()];
-  await Promise.all(instances.map(async (instance) => {
-    const version = await fetchVersion(instance);
-    const versions = world.versions.get(instance.name) ?? [];
-    if (versions.at(-1) !== version) versions.push(version);
-    world.versions.set(instance.name, versions);
-  }));
-}
-
-async function fetchVersion(instance: FleetInstance): Promise<number> {
-  const response = await fetch(`http://${instance.callerAddress}/healthz`);
-  const health = await response.json() as { readonly version: number };
-  return health.version;
-}
