--- a/packages/standins/src/fleet/fleet.ts
+++ b/packages/standins/src/fleet/fleet.ts
@@ -329,9 +329,9 @@
     "callers": { host: "127.0.0.1", port: 0 },
     "peers": { host: "127.0.0.1", port: 0, key: peerKey },
     "platform": {
-      log: `http://${parts.log}`,
-      members: `http://${parts.members}`,
-      weights: `http://${parts.weights}`,
+      log: parts.log,
+      members: parts.members,
+      weights: parts.weights,
     },
     "signing_keys": { [keyName]: parts.publicKey },
     ...options.settings,
--- a/packages/standins/src/load/load_report.ts
+++ b/packages/standins/src/load/load_report.ts
@@ -23,12 +23,14 @@
   readonly firstToken: Percentiles;
   readonly betweenTokens: Percentiles;
   readonly booking: Percentiles;
+  /** How each booking ended, by its key. */
+  readonly bookings: ReadonlyMap<string, CallEnd>;
 }
 
 /** Collects results while a run goes on. */
 export interface LoadCollector {
   readonly addCompletion: (result: CallResult) => void;
-  readonly addBooking: (result: CallResult) => void;
+  readonly addBooking: (key: string, result: CallResult) => void;
   readonly summarize: () => LoadReportSummary;
 }
 
@@ -45,6 +47,7 @@
   const ends = Object.fromEntries(
     Object.values(CallEnd).map((end) => [end, 0]),
   ) as Record<CallEnd, number>;
+  const bookings = new Map<string, CallEnd>();
   let requests = 0;
   let tokens = 0;
 
@@ -63,8 +66,9 @@
       recordMs(firstToken, result.firstTokenMs);
       for (const gapMs of result.gapsMs) recordMs(betweenTokens, gapMs);
     },
-    addBooking: (result) => {
+    addBooking: (key, result) => {
       add(result);
+      bookings.set(key, result.end);
       if (result.end === CallEnd.Done) recordMs(booking, result.totalMs);
     },
     summarize: () => {
@@ -79,6 +83,7 @@
         firstToken: readPercentiles(firstToken),
         betweenTokens: readPercentiles(betweenTokens),
         booking: readPercentiles(booking),
+        bookings,
       };
     },
   };
--- a/packages/standins/src/load/print_report.ts
+++ b/packages/standins/src/load/print_report.ts
@@ -7,7 +7,10 @@
   reports: Readonly<Record<string, LoadReportSummary>>,
 ): string {
   const names = Object.keys(reports);
-  const table = new Table({ head: ["measure", ...names] });
+  const table = new Table({
+    head: ["measure", ...names],
+    style: { head: [], border: [] },
+  });
   const addRow = (
     label: string,
     read: (report: LoadReportSummary) => string,
--- a/packages/standins/src/load/run_load.ts
+++ b/packages/standins/src/load/run_load.ts
@@ -24,6 +24,8 @@
 /** Settings of a run. */
 export interface LoadOptions extends Omit<WorkloadOptions, "callers"> {
   readonly target: LoadTarget;
+  /** Ends the run early: what was sent is waited for, nothing more is sent. */
+  readonly signal?: AbortSignal;
   /** Called after each answer with the number of answers so far. */
   readonly onAnswer?: (count: number) => void;
 }
@@ -57,14 +59,11 @@
   const send = async (planned: PlannedRequest): Promise<void> => {
     const apiKey = target.apiKeys[planned.caller] ?? "";
     if (planned.kind === RequestKind.Booking) {
-      collector.addBooking(
-        await caller.book({
-          apiKey,
-          service: target.service,
-          key: `booking-${options.seed}-${planned.index}`,
-          item: `tent-${planned.index}`,
-        }),
-      );
+      const key = `booking-${options.seed}-${planned.index}`;
+      const item = `tent-${planned.index}`;
+      const { service } = target;
+      const result = await caller.book({ apiKey, service, key, item });
+      collector.addBooking(key, result);
     } else {
       const { prompt, maxTokens } = planned;
       const { model } = target;
@@ -78,7 +77,8 @@
   const workload = { ...options, callers: target.apiKeys.length };
   for (const planned of generateWorkload(workload)) {
     const waitMs = startMs + planned.atMs - performance.now();
-    if (waitMs > 0) await waitFor(waitMs);
+    if (waitMs > 0) await waitFor(waitMs, options.signal);
+    if (options.signal?.aborted) break;
     calls.push(send(planned));
   }
   await Promise.all(calls);
