--- a/packages/core/src/process/orders/orders.feature
+++ b/packages/core/src/process/orders/orders.feature
@@ -99,6 +99,35 @@
     And 2 s pass with the orders
     Then the orders match the snapshot
 
+  Scenario: An engine that ignores numbers gets no second copy of an order
+    Given an engine that ignores numbers and instances "a"
+    When "a" claims the pool
+    And "a" orders version "2" and is paused before it sends
+    And the held order is delayed and its sender gets no answer
+    And 20 s pass with the orders
+    And the delayed order arrives
+    And the engine ends its change
+    And 2 s pass with the orders
+    Then the orders match the snapshot
+
+  Scenario: The order of a dead sender arrives within the bound and is waited for
+    Given an engine that ignores numbers and instances "a, b"
+    When "a" claims the pool
+    And "a" orders version "2" and is paused before it sends
+    And the held order is delayed and its sender gets no answer
+    And "a" crashes
+    And "a" is recorded as stopped
+    And "b" claims the pool
+    And "b" orders version "3"
+    And 50 s pass with the orders
+    And the delayed order arrives
+    And 20 s pass with the orders
+    And the engine ends its change
+    And 20 s pass with the orders
+    And the engine ends its change
+    And 2 s pass with the orders
+    Then the orders match the snapshot
+
   Scenario Outline: The state of an engine that restarts during a change is read back
     Given an engine that <checks> and instances "a"
     When "a" claims the pool
--- a/packages/core/src/process/orders/orders.steps.ts
+++ b/packages/core/src/process/orders/orders.steps.ts
@@ -88,6 +88,19 @@
   this.fleet.pending.push(...this.held.splice(0));
 });
 
+When(
+  "the held order is delayed and its sender gets no answer",
+  async function (this: OrdersWorld): Promise<void> {
+    for (const step of this.held.splice(0)) step.run(StepFault.Delayed);
+    this.paused.clear();
+    await settleMicrotasks();
+  },
+);
+
+When("the delayed order arrives", function (this: OrdersWorld): void {
+  for (const late of this.fleet.late.splice(0)) late.run();
+});
+
 When("{string} crashes", function (this: OrdersWorld, name: string): void {
   this.fleet.crashed.add(name);
 });
