--- a/packages/standins/src/integration/calls.steps.ts
+++ b/packages/standins/src/integration/calls.steps.ts
@@ -16,7 +16,7 @@
   onRecord,
   sendBooking,
   startFaultFleet,
-} from "./fault_world.test.ts";
+} from "./fault_world.ts";
 
 const timeout = { timeout: faultStepTimeoutMs };
 const callsPath = "/streams/calls/entries";
--- a/packages/standins/src/integration/orders.steps.ts
+++ b/packages/standins/src/integration/orders.steps.ts
@@ -19,7 +19,7 @@
   listRecordsOf,
   parseRecords,
   startFaultFleet,
-} from "./fault_world.test.ts";
+} from "./fault_world.ts";
 
 /** State of one scenario, with the armed fault. */
 interface OrderFaultWorld extends FaultWorld {
