--- a/packages/standins/src/experiment/experiments.ts
+++ b/packages/standins/src/experiment/experiments.ts
@@ -6,6 +6,7 @@
 import { staleReports } from "./bench_experiments/stale_reports.ts";
 import {
   bothWays,
+  bundleInForce,
   engineLoss,
   poison,
   retryStorm,
@@ -25,4 +26,5 @@
   poison,
   engineLoss,
   bothWays,
+  bundleInForce,
 ];
