Let suspects share an engine once the first has produced tokens

Cause: at an engine's loss 8 of 907 requests were refused after 15 s, since each suspect held an engine for its whole answer.

--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -35,6 +35,8 @@
 const stallFactor = 4;
 /** Longest wait of a suspect request for an engine of its own, in ms. */
 const trialPatienceMs = 15_000;
+/** Tokens after which a suspect no longer keeps others from its engine. */
+const trialTokens = 16;
 const trialRetryAfterMs = 2_000;
 const suspectRetryAfterMs = 60_000;
 
@@ -229,6 +231,7 @@
       prefixes,
     });
   let started = false;
+  let tokens = 0;
   return {
     noteFirstToken(): void {
       started = true;
@@ -236,7 +239,12 @@
       prefill?.noteFirstToken();
       prefill?.close();
     },
-    noteToken: work.noteToken,
+    noteToken(): void {
+      work.noteToken();
+      tokens += 1;
+      // The next suspect may join; a crash from now on speaks against both.
+      if (tokens === trialTokens) context.suspects.closeTrial(call.digest);
+    },
     close(): void {
       work.close();
       prefill?.close();
