Test the listeners over TLS and the metrics that leave an instance

Cause: TLS for callers and peers, the shape check of digests and the metrics had no test. Change: a feature with a certificate made in the test and a UDP receiver. Conclusion: both listeners serve TLS when the settings give a certificate.

--- /dev/null
+++ b/packages/node/src/connection/listeners.feature
@@ -0,0 +1,21 @@
+Feature: Listeners for callers and instances
+
+  Scenario: Callers connect over TLS when the settings give a certificate
+    Given a certificate made for this test
+    When a caller asks a gateway with that certificate for its health
+    Then the caller reads that the instance is ready
+
+  Scenario: Instances exchange digests over TLS with the shared key
+    Given a certificate made for this test
+    When two instances with that certificate exchange digests
+    Then each has the digest of the other
+
+  Scenario: A digest of the wrong shape is refused and changes nothing
+    Given a certificate made for this test
+    When an instance sends a digest of the wrong shape
+    Then the digest is refused and the peer has taken nothing
+
+  Scenario: Metrics reach the receiver of the settings
+    Given a receiver of metrics
+    When an instance with that receiver finishes a request
+    Then the received metrics match the snapshot
--- /dev/null
+++ b/packages/node/src/connection/listeners.steps.ts
@@ -0,0 +1,211 @@
+/** Steps of `listeners.feature`. */
+import assert from "node:assert/strict";
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { emptyControlState } from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
+import { generate } from "selfsigned";
+import { Agent, request } from "undici";
+import { openMetrics } from "../process/metrics.ts";
+import { createHealthApp } from "../request/health_app.ts";
+import { type Settings, settingsSchema } from "../settings/index.ts";
+import { openGateway } from "./gateway.ts";
+import {
+  openPeerClient,
+  openPeerServer,
+  type PeerDigest,
+} from "./peers/index.ts";
+
+/** State of one scenario. */
+interface ListenerWorld {
+  certificate: { readonly cert: string; readonly private: string };
+  closers?: (() => Promise<unknown> | void)[];
+  answer: unknown;
+  digests: PeerDigest[];
+  receiver: Socket;
+  packets: string[];
+  matchSnapshot: (received: unknown) => void;
+}
+
+const key = "a key that all instances share";
+
+After(async function (this: ListenerWorld): Promise<void> {
+  for (const close of this.closers ?? []) await close();
+});
+
+Given("a certificate made for this test", async function (
+  this: ListenerWorld,
+): Promise<void> {
+  this.closers = [];
+  this.digests = [];
+  this.certificate = await generate([{
+    name: "commonName",
+    value: "127.0.0.1",
+  }], {
+    keySize: 2_048,
+    extensions: [{
+      name: "subjectAltName",
+      altNames: [{ type: 7, ip: "127.0.0.1" }],
+    }],
+  });
+});
+
+When(
+  "a caller asks a gateway with that certificate for its health",
+  async function (this: ListenerWorld): Promise<void> {
+    const health = {
+      ready: true,
+      instance: "one",
+      failureDomain: "sapporo",
+      version: 3,
+    };
+    const gateway = await openGateway(buildSettings(this).callers, {
+      apps: [createHealthApp(() => health)],
+      environment: {},
+      onFailure: (error) => assert.fail(String(error)),
+    });
+    const dispatcher = new Agent({ connect: { ca: this.certificate.cert } });
+    this.closers?.push(() => dispatcher.close(), gateway.close);
+    const { body } = await request(`https://${gateway.address}/readyz`, {
+      dispatcher,
+    });
+    this.answer = await body.json();
+  },
+);
+
+Then(
+  "the caller reads that the instance is ready",
+  function (this: ListenerWorld): void {
+    assert.deepEqual(this.answer, {
+      ready: true,
+      instance: "one",
+      failureDomain: "sapporo",
+      version: 3,
+    });
+  },
+);
+
+When(
+  "two instances with that certificate exchange digests",
+  async function (this: ListenerWorld): Promise<void> {
+    const client = await openPeer(this);
+    this.answer = await client.exchange(buildDigest("two"));
+  },
+);
+
+Then("each has the digest of the other", function (this: ListenerWorld): void {
+  assert.deepEqual(this.answer, buildDigest("one"));
+  assert.deepEqual(this.digests, [buildDigest("two")]);
+});
+
+When(
+  "an instance sends a digest of the wrong shape",
+  async function (this: ListenerWorld): Promise<void> {
+    const client = await openPeer(this);
+    const wrong = { ...buildDigest("two"), controlNext: -1 };
+    this.answer = await client.exchange(wrong).then(
+      () => "taken",
+      () => "refused",
+    );
+  },
+);
+
+Then(
+  "the digest is refused and the peer has taken nothing",
+  function (this: ListenerWorld): void {
+    assert.equal(this.answer, "refused");
+    assert.deepEqual(this.digests, []);
+  },
+);
+
+Given(
+  "a receiver of metrics",
+  async function (this: ListenerWorld): Promise<void> {
+    this.packets = [];
+    this.receiver = createSocket("udp4");
+    this.receiver.on("message", (packet) => this.packets.push(String(packet)));
+    this.receiver.bind(0, "127.0.0.1");
+    await once(this.receiver, "listening");
+    this.closers = [(): void => {
+      this.receiver.close();
+    }];
+  },
+);
+
+When(
+  "an instance with that receiver finishes a request",
+  async function (this: ListenerWorld): Promise<void> {
+    const { port } = this.receiver.address();
+    const metrics = openMetrics({
+      host: "127.0.0.1",
+      port,
+      prefix: "trefoildoor.",
+    });
+    this.closers?.push(metrics.close);
+    metrics.noteRequest({
+      target: "reader",
+      end: "done",
+      durationMs: 120,
+      firstTokenMs: 40,
+      outputTokens: 7,
+    });
+    await waitUntil("four metrics arrive", () => this.packets.length >= 4);
+  },
+);
+
+Then(
+  "the received metrics match the snapshot",
+  function (this: ListenerWorld): void {
+    this.matchSnapshot(this.packets.toSorted());
+  },
+);
+
+async function openPeer(
+  world: ListenerWorld,
+): Promise<ReturnType<typeof openPeerClient>> {
+  const settings = buildSettings(world).peers;
+  const server = await openPeerServer(settings, {
+    environment: {},
+    onRefused: () => assert.fail("the key is right"),
+    parts: {
+      exchange: (digest) => {
+        world.digests.push(digest);
+        return buildDigest("one");
+      },
+      getControlState: () => emptyControlState,
+    },
+  });
+  const client = openPeerClient(server.address, { settings, environment: {} });
+  world.closers?.push(client.close, server.close);
+  return client;
+}
+
+function buildSettings({ certificate }: ListenerWorld): Settings {
+  const tls = {
+    certificate: certificate.cert,
+    "private_key": certificate.private,
+  };
+  const address = "127.0.0.1:1";
+  return settingsSchema.parse({
+    instance: "one",
+    "failure_domain": "sapporo",
+    callers: { host: "127.0.0.1", port: 0, tls },
+    peers: { host: "127.0.0.1", port: 0, tls, key, ca: certificate.cert },
+    platform: { log: address, members: address, weights: address },
+    "signing_keys": { operations: "x".repeat(44) },
+  });
+}
+
+function buildDigest(instance: string): PeerDigest {
+  return {
+    instance,
+    failureDomain: "sapporo",
+    controlNext: 0,
+    version: 0,
+    stopping: false,
+    demand: [],
+    evidence: { instance, digests: [], trials: [] },
+    leaving: [],
+  };
+}
