--- a/packages/standins/src/integration/fault_world.ts
+++ b/packages/standins/src/integration/fault_world.ts
@@ -1,7 +1,9 @@
 /** Real instances for tests of faults, and what their platform and endpoints saw. */
 import { strict as assert } from "node:assert";
 import {
+  type Bundle,
   ExampleFleet,
+  type FenceCheck,
   type LogRecord,
   outcomeHeader,
   recordGroupSchema,
@@ -32,6 +34,8 @@
   readonly outcome: string;
   readonly status: number;
   readonly body: string;
+  /** Runs of the key at the desks when the caller was told. */
+  readonly runs: number;
 }
 
 /** A record with its writer, as the log holds it. */
@@ -63,6 +67,31 @@
   return fleet;
 }
 
+/** Leaves the first engines of each pool, all of which may be away. */
+export function buildSmallPools(
+  bundle: Bundle,
+  options: { readonly fenceCheck: FenceCheck; readonly engines: number },
+): Bundle {
+  const pools = bundle.pools.map((pool) => ({
+    ...pool,
+    engines: pool.engines.slice(0, options.engines),
+    fence_check: options.fenceCheck,
+    prefill_floor: 0,
+    decode_floor: 0,
+  }));
+  return { ...bundle, pools };
+}
+
+/** The bundle that follows another one, with all models at a version. */
+export function buildNextBundle(bundle: Bundle, version: string): Bundle {
+  const pools = bundle.pools.map((pool) => ({
+    ...pool,
+    models: pool.models.map((model) => ({ ...model, version })),
+  }));
+  const parent = bundle.version;
+  return { ...bundle, pools, version: parent + 1, parent };
+}
+
 /** The fleet of a scenario. */
 export function getFleet(world: FaultWorld): Fleet {
   assert(world.faultFleet, "no fleet runs");
@@ -143,14 +172,14 @@
       },
       body: JSON.stringify({ item: key }),
     },
-  ).then(async (answer): Promise<ToldOutcome> => ({
-    key,
+  ).then(async (answer) => ({
     outcome: String(answer.headers[outcomeHeader]),
     status: answer.statusCode,
     body: await answer.body.text(),
-  })).catch(() => ({ key, outcome: "none", status: 0, body: "" }));
-  world.told.push(told);
-  return told;
+  })).catch(() => ({ outcome: "none", status: 0, body: "" }));
+  const noted = { key, ...told, runs: countDeskRuns(fleet, key) };
+  world.told.push(noted);
+  return noted;
 }
 
 /** Runs of a key over all desks; desks see keys made unique to the caller. */
@@ -165,6 +194,10 @@
   for (const { key, outcome, body } of world.told) {
     const runs = countDeskRuns(fleet, key);
     assert(runs <= 1, `${key} ran ${runs} times`);
+    const all = world.told.filter((one) => one.key === key);
+    if (all.every((one) => one.outcome === "not_run")) {
+      assert.equal(runs, 0, `${key} ran and was only called not run`);
+    }
     if (outcome === "done") {
       assert.equal(runs, 1, `${key} was called done and did not run`);
       assert.equal(JSON.parse(body).item, key, "answer of another booking");
--- a/packages/standins/src/integration/orders.steps.ts
+++ b/packages/standins/src/integration/orders.steps.ts
@@ -3,7 +3,6 @@
 import process from "node:process";
 import { Given, Then, When } from "@cucumber/cucumber";
 import {
-  type Bundle,
   FenceCheck,
   maxGroupRecords,
   RecordKind,
@@ -12,6 +11,8 @@
 import { waitUntil } from "@trefoildoor/testing";
 import type { Fleet, FleetInstance } from "../fleet/index.ts";
 import {
+  buildNextBundle,
+  buildSmallPools,
   faultStepTimeoutMs,
   type FaultWorld,
   getFleet,
@@ -43,7 +44,8 @@
       names: ["a", "b", "c"],
       engine: { fenceCheck, modelLoadMs },
       settings: { lease: { time_ms: leaseTimeMs } },
-      editBundle: (bundle) => buildSmallPools(bundle, fenceCheck),
+      editBundle: (bundle) =>
+        buildSmallPools(bundle, { fenceCheck, engines: 1 }),
     });
   },
 );
@@ -118,31 +120,6 @@
   },
 );
 
-/** A pool of one engine, which may be away. */
-function buildSmallPools(bundle: Bundle, fenceCheck: FenceCheck): Bundle {
-  const pools = bundle.pools.map((pool) => ({
-    ...pool,
-    engines: pool.engines.slice(0, 1),
-    fence_check: fenceCheck,
-    prefill_floor: 0,
-    decode_floor: 0,
-  }));
-  return { ...bundle, pools };
-}
-
-function buildNextBundle(bundle: Bundle, version: string): Bundle {
-  const pools = bundle.pools.map((pool) => ({
-    ...pool,
-    models: pool.models.map((model) => ({ ...model, version })),
-  }));
-  return {
-    ...bundle,
-    pools,
-    version: bundle.version + 1,
-    parent: bundle.version,
-  };
-}
-
 /** Resolves to the instance that took a step, hit in the moment of the step. */
 function waitForStep(
   fleet: Fleet,
