Let prompts for one second wait at the engines

Cause: up to three quarters of the capacity, sending every request at once served more than admission, which kept engines short of prompts. Change: prompts for 1,000 ms in place of 600 ms may wait at the engines.

--- a/packages/core/src/request/admission/capacity.ts
+++ b/packages/core/src/request/admission/capacity.ts
@@ -24,7 +24,7 @@
 }
 
 /** Time's worth of prompts that may wait at the engines. */
-const engineQueueMs = 600;
+const engineQueueMs = 1_000;
 /** Requests that may queue at an engine for each that runs. */
 const queuedShare = 0.1;
 /** Share of what is free that one instance takes, times the count of instances. */
