Find undecided calls that only a checkpoint still holds

'trefoildoorctl calls' started at the log's retention edge and missed calls whose intent had expired from the log. It now starts from the checkpoint, as the instances do; a scenario expires both streams, and fails without the change.

--- a/packages/ctl/src/commands/calls.ts
+++ b/packages/ctl/src/commands/calls.ts
@@ -3,6 +3,7 @@
   emptyCallsState,
   foldCalls,
   listOpenCalls,
+  readCallsCheckpoint,
   StreamName,
 } from "@trefoildoor/core";
 import type { Command } from "../command.ts";
@@ -20,6 +21,7 @@
         stream: StreamName.Calls,
         emptyState: emptyCallsState,
         fold: foldCalls,
+        readCheckpoint: readCallsCheckpoint,
       });
       const data = listOpenCalls(calls.getState()).map((entry) => ({
         caller: entry.caller,
--- a/packages/ctl/src/ctl.feature
+++ b/packages/ctl/src/ctl.feature
@@ -130,6 +130,21 @@
       """
     Then the operator's session matches the snapshot
 
+  Scenario: What the log no longer keeps comes from checkpoints or a file
+    Given version 1 was published
+    And a fleet with leases, a drain and orders of every stage
+    And another operator publishes a different change first
+    And both streams were checkpointed and the records before it have expired
+    When the operator runs
+      """
+      calls
+      bundle status
+      bundle show 1
+      bundle rollback 1 --yes --key-file ops.key
+      bundle rollback first.yaml --yes --key-file ops.key
+      """
+    Then the operator's session matches the snapshot
+
   Scenario: Every view has JSON
     Given version 1 was published
     And a fleet with leases, a drain and orders of every stage
--- a/packages/ctl/src/ctl.steps.ts
+++ b/packages/ctl/src/ctl.steps.ts
@@ -8,6 +8,7 @@
 import { type Bundle, formatBundle, StreamName } from "@trefoildoor/core";
 import {
   appendFleetRecords,
+  expireRecords,
   listBurnRecords,
 } from "./testing/fleet_records.ts";
 import {
@@ -121,6 +122,15 @@
   },
 );
 
+Given(
+  "both streams were checkpointed and the records before it have expired",
+  async function (this: OperatorWorld): Promise<void> {
+    const { log, first } = this.operator;
+    writeFiles(this.operator, { "first.yaml": formatBundle(first) });
+    await expireRecords(log);
+  },
+);
+
 When(
   "the operator runs",
   async function (this: OperatorWorld, lines: string): Promise<void> {
--- a/packages/ctl/src/testing/fleet_records.ts
+++ b/packages/ctl/src/testing/fleet_records.ts
@@ -1,12 +1,22 @@
 /** Records of a small fleet for tests. */
 import {
+  buildCallsCheckpoint,
+  buildControlCheckpoint,
   type BurnSummary,
+  checkEntry,
+  emptyCallsState,
+  emptyControlState,
   EngineRole,
+  foldCalls,
+  foldControl,
+  foldEntry,
   getPosition,
   type LogRecord,
   OrderClosing,
+  type PositionedRecord,
   RecordKind,
   StreamName,
+  type StreamState,
 } from "@trefoildoor/core";
 import type { MemoryLog } from "./memory_log.ts";
 
@@ -153,3 +163,40 @@
     }))
   );
 }
+
+/** Writes a checkpoint into both streams and forgets the entries before it. */
+export async function expireRecords(log: MemoryLog): Promise<void> {
+  const control = await readFolded(log, StreamName.Control, {
+    emptyState: emptyControlState,
+    fold: (state, record) =>
+      foldControl(state, record, { verifySignature: () => true }),
+  });
+  const calls = await readFolded(log, StreamName.Calls, {
+    emptyState: emptyCallsState,
+    fold: foldCalls,
+  });
+  const checkpoints = [
+    { stream: StreamName.Control, record: buildControlCheckpoint(control) },
+    { stream: StreamName.Calls, record: buildCallsCheckpoint(calls) },
+  ];
+  for (const { stream, record } of checkpoints) {
+    const { end } = await log.read(stream, { from: 0, limit: 1 });
+    await log.appendRecords(stream, [record], { writer: "entry-2" });
+    log.expire(stream, end);
+  }
+}
+
+async function readFolded<S extends StreamState>(
+  log: MemoryLog,
+  stream: StreamName,
+  options: {
+    readonly emptyState: S;
+    readonly fold: (state: S, record: PositionedRecord) => S;
+  },
+): Promise<S> {
+  const { entries } = await log.read(stream, { from: 0, limit: 1_000 });
+  return entries.reduce(
+    (state, entry) => foldEntry(state, checkEntry(state, entry), options),
+    options.emptyState,
+  );
+}
--- a/packages/ctl/src/testing/memory_log.ts
+++ b/packages/ctl/src/testing/memory_log.ts
@@ -26,6 +26,8 @@
     options?: { readonly writer?: string },
   ) => Promise<void>;
   readonly refuseReads: () => void;
+  /** Forgets all entries of a stream below an offset, as retention does. */
+  readonly expire: (stream: StreamName, before: number) => void;
   /** The next append takes effect and is answered by an error, once. */
   readonly loseNextAnswer: () => void;
   /** Runs an action before the next append takes effect. */
@@ -35,6 +37,7 @@
 /** Creates an empty log. */
 export function createMemoryLog(): MemoryLog {
   const streams = new Map<StreamName, LogEntry[]>();
+  const edges = new Map<StreamName, number>();
   let isRefusing = false;
   let losesAnswer = false;
   let action: (() => Promise<void>) | undefined;
@@ -69,11 +72,13 @@
       await waitFor(pollMs, range.signal);
     }
     if (isRefusing) throw createError("cannot be reached", Effect.None);
+    const earliest = edges.get(stream) ?? 0;
+    if (range.from < earliest) throw createExpired();
     const entries = getEntries(stream);
     return {
       entries: entries.slice(range.from, range.from + range.limit),
       end: entries.length,
-      earliest: 0,
+      earliest,
     };
   };
 
@@ -90,6 +95,9 @@
       add(stream, encodeGroup(group));
       return Promise.resolve();
     },
+    expire: (stream, before) => {
+      edges.set(stream, before);
+    },
     refuseReads: () => {
       isRefusing = true;
     },
@@ -106,3 +114,8 @@
   const failure = RemoteFailure.Unreachable;
   return new RemoteError(message, { failure, effect });
 }
+
+function createExpired(): RemoteError {
+  const failure = RemoteFailure.Expired;
+  return new RemoteError("no longer kept", { failure, effect: Effect.None });
+}
