Show engines without an order as unknown, not as pending

An engine that already runs what the bundle says gets no order, so a fresh fleet looked as if its rollout had not begun. The view compares targets by the same rule as the pool's lease holder.

--- a/packages/ctl/src/views/describe_rollout.ts
+++ b/packages/ctl/src/views/describe_rollout.ts
@@ -1,10 +1,10 @@
 /** Progress of the bundle in force on the engines of each pool. */
-import { isDeepStrictEqual } from "node:util";
-import type {
-  Bundle,
-  BundleEngine,
-  BundlePool,
-  ControlState,
+import {
+  type Bundle,
+  type BundleEngine,
+  type BundlePool,
+  type ControlState,
+  isSameTarget,
 } from "@trefoildoor/core";
 
 /** How far an engine is. */
@@ -15,8 +15,10 @@
   Ordered = "ordered",
   /** The newest order did not reach its target. */
   Failed = "failed",
-  /** No order of this bundle's models is in the log. */
+  /** The newest order was for other models. */
   Pending = "pending",
+  /** The log holds no order that tells what the engine runs. */
+  Unknown = "unknown",
 }
 
 /** Progress in one failure domain of a pool. */
@@ -48,8 +50,9 @@
   const order = state.orders[name];
   if (order && !order.closed) return EngineProgress.Ordered;
   if (state.drains[name]) return EngineProgress.Draining;
-  if (!order) return EngineProgress.Pending;
-  const isCurrent = isDeepStrictEqual(order.target.models, pool.models);
+  if (!order || order.fenceOnly) return EngineProgress.Unknown;
+  const { role } = order.target;
+  const isCurrent = isSameTarget(order.target, { role, models: pool.models });
   if (isCurrent && order.closed?.reached) return EngineProgress.Current;
   const isOwn = order.version === state.bundle?.signed.bundle.version;
   return isOwn && !order.closed?.reached
