Run random faults on real instances and measure appends per call

Cause: scenarios hit chosen steps; combinations and repetitions of faults on real instances were not tried. Change: experiment faults kills, suspends and cuts instances, breaks the log, desks and engines and publishes bundles at random by seed, then checks the endpoints' own records; experiment call_appends counts appends.

--- a/packages/standins/src/experiment/experiment.ts
+++ b/packages/standins/src/experiment/experiment.ts
@@ -8,6 +8,8 @@
   readonly fleet: string | undefined;
   /** Seeds to run, 1 to this number. */
   readonly seeds: number;
+  /** The only seed to run, where one run is repeated. */
+  readonly seed?: number;
 }
 
 /** A table of results. */
--- a/packages/standins/src/experiment/experiments.ts
+++ b/packages/standins/src/experiment/experiments.ts
@@ -11,6 +11,7 @@
   poison,
   retryStorm,
 } from "./real_experiments/index.ts";
+import { callAppends, faults } from "./faults/index.ts";
 import type { Experiment } from "./experiment.ts";
 import { slopes } from "./slopes/index.ts";
 
@@ -27,4 +28,6 @@
   engineLoss,
   bothWays,
   bundleInForce,
+  faults,
+  callAppends,
 ];
--- a/packages/standins/src/experiment/main.ts
+++ b/packages/standins/src/experiment/main.ts
@@ -10,6 +10,7 @@
   readonly policy?: string;
   readonly fleet?: string;
   readonly seeds?: number;
+  readonly seed?: number;
   readonly json?: boolean;
   readonly out?: string;
 }
@@ -21,6 +22,7 @@
     .option("--policy", "Only these policies, with commas")
     .option("--fleet", "Only this fleet")
     .option("--seeds", "Count of seeds")
+    .option("--seed", "Only this seed, in experiments that run seeds apart")
     .option("--json", "Print the raw figures")
     .option("--out", "Folder for plots", "reports/experiments")
     .action(runExperiment)
@@ -42,6 +44,7 @@
     policy: options.policy,
     fleet: options.fleet,
     seeds: Number(options.seeds ?? experiment.defaultSeeds),
+    seed: options.seed === undefined ? undefined : Number(options.seed),
   });
   if (options.json) {
     console.log(JSON.stringify(report.data, undefined, 2));
