--- a/packages/standins/src/integration/calls.feature
+++ b/packages/standins/src/integration/calls.feature
@@ -57,3 +57,11 @@
     And booking "k3" is sent to "a"
     And booking "k3" is repeated at "b" until it is decided
     Then each booking ran at most once and as its caller was told
+
+  Scenario: A repeat at an instance without the log is not called not run
+    Given instances "a, b" before a booking desk
+    When booking "k0" is repeated at "b" until it is decided
+    And "b" is cut off from the log
+    And booking "k1" is sent to "a"
+    And booking "k1" is sent to "b"
+    Then nobody was told of a booking that had run that it was not run
--- a/packages/standins/src/integration/calls.steps.ts
+++ b/packages/standins/src/integration/calls.steps.ts
@@ -176,6 +176,16 @@
   },
 );
 
+Then(
+  "nobody was told of a booking that had run that it was not run",
+  function (this: FaultWorld): void {
+    const wrong = this.told.filter(({ outcome, runs }) =>
+      outcome === "not_run" && runs > 0
+    );
+    assert.deepEqual(wrong, []);
+  },
+);
+
 After(timeout, async function (this: Partial<FaultWorld>): Promise<void> {
   for (const instance of this.faultInstances?.values() ?? []) {
     if (instance.isRunning()) instance.resume();
