Run features with real processes in processes of their own

Cause: the suite ran one scenario after the other, most of it waiting. Change: each feature with real instances runs in a process of its own, three at a time; the outcomes come back as names, so that KNOWN-RED.txt holds as before.

--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -1,91 +1,110 @@
 /**
- * Runs the whole test suite: every feature with its snapshots, then the model.
+ * Runs the whole test suite: features with their snapshots, and the model.
  *
+ * Features with real processes run in processes of their own, a few at a time.
  * Scenarios listed in KNOWN-RED.txt may fail; they are printed. A scenario on
  * that list which passes fails the run, so that the list stays true.
  */
-import { spawnSync } from "node:child_process";
-import { existsSync, readFileSync } from "node:fs";
+import { spawn } from "node:child_process";
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
 import process from "node:process";
-import { loadConfiguration, runCucumber } from "@cucumber/cucumber/api";
-import type { Envelope } from "@cucumber/messages";
+import type { Outcomes } from "./outcomes.ts";
 
-/** Outcome counts of one run, and the names behind them. */
-interface Tally {
-  readonly passed: string[];
-  readonly failed: string[];
-}
+/** Runs of features that go on at the same time. */
+const concurrentRuns = 3;
+const integrationFolder = "packages/standins/src/integration/";
+const processFeatures = [
+  integrationFolder,
+  "packages/standins/src/load/",
+  "packages/ctl/src/",
+  "packages/node/src/",
+];
 
 async function main(): Promise<void> {
-  process.env.CHECK_UNUSED_SNAPSHOTS = "1";
-  const tally: Tally = { passed: [], failed: [] };
-  const hooksPassed = await runFeatures(tally);
-  const known = readKnownRed("KNOWN-RED.txt");
-  const unexpected = tally.failed.filter((name) => !known.has(name));
-  const repaired = tally.passed.filter((name) => known.has(name));
-  for (const name of tally.failed.filter((name) => known.has(name))) {
-    console.log(`known red: ${name}`);
-  }
-  for (const name of repaired) {
-    console.log(`listed in KNOWN-RED.txt but passes: ${name}`);
-  }
-  for (const name of unexpected) console.log(`failed: ${name}`);
-  const runFailed = !hooksPassed && tally.failed.length === 0;
-  if (runFailed) console.log("failed: a hook outside the scenarios, see above");
-  const modelFailed = runModel() ? 0 : 1;
-  const failed = unexpected.length + repaired.length + modelFailed +
-    (runFailed ? 1 : 0);
-  const passed = tally.passed.length - repaired.length + (1 - modelFailed);
-  console.log(`${passed} passed, ${failed} failed`);
-  process.exitCode = failed === 0 && tally.passed.length > 0 ? 0 : 1;
+  const features = listFeatures("packages");
+  const alone = features.filter((path) => path.startsWith(integrationFolder));
+  const together = features.filter((path) => !alone.includes(path));
+  const local = together.filter((path) => !needsProcesses(path));
+  const mixed = together.filter(needsProcesses);
+  const groups = [...alone.map((path) => [path]), mixed, local];
+  const results = await runGroups(groups);
+  // The model takes memory and cores that would slow the features' processes.
+  const modelPassed = (await runProgram("bash", ["spec/run_model"])).code === 0;
+  report(results, { modelPassed, known: readKnownRed("KNOWN-RED.txt") });
 }
 
-async function runFeatures(tally: Tally): Promise<boolean> {
-  const { runConfiguration } = await loadConfiguration({
-    file: "cucumber.mjs",
+function needsProcesses(path: string): boolean {
+  return processFeatures.some((folder) => path.startsWith(folder));
+}
+
+function listFeatures(root: string): readonly string[] {
+  return readdirSync(root, { withFileTypes: true }).flatMap((entry) => {
+    if (["node_modules", "dist"].includes(entry.name)) return [];
+    const path = join(root, entry.name);
+    if (entry.isDirectory()) return listFeatures(path);
+    return entry.name.endsWith(".feature") ? [path] : [];
   });
-  const names = new Map<string, string>();
-  const cases = new Map<string, string>();
-  const started = new Map<string, string>();
-  const failing = new Set<string>();
-  const result = await runCucumber(
-    runConfiguration,
-    {},
-    (envelope: Envelope) => {
-      if (envelope.pickle) {
-        names.set(
-          envelope.pickle.id,
-          `${envelope.pickle.uri}: ${envelope.pickle.name}`,
-        );
-      }
-      if (envelope.testCase) {
-        cases.set(
-          envelope.testCase.id,
-          envelope.testCase.pickleId,
-        );
-      }
-      if (envelope.testCaseStarted) {
-        started.set(
-          envelope.testCaseStarted.id,
-          envelope.testCaseStarted.testCaseId,
-        );
-      }
-      const step = envelope.testStepFinished;
-      if (step && step.testStepResult.status !== "PASSED") {
-        failing.add(
-          step.testCaseStartedId,
-        );
-      }
-      const finished = envelope.testCaseFinished;
-      if (!finished || finished.willBeRetried) return;
-      const pickleId =
-        cases.get(started.get(finished.testCaseStartedId) ?? "") ?? "";
-      const name = names.get(pickleId) ?? "unnamed scenario";
-      (failing.has(finished.testCaseStartedId) ? tally.failed : tally.passed)
-        .push(name);
-    },
+}
+
+async function runGroups(
+  groups: readonly (readonly string[])[],
+): Promise<readonly Outcomes[]> {
+  const waiting = [...groups];
+  const results: Outcomes[] = [];
+  const runNext = async (): Promise<void> => {
+    for (let group = waiting.shift(); group; group = waiting.shift()) {
+      results.push(await runFeatures(group));
+    }
+  };
+  await Promise.all(Array.from({ length: concurrentRuns }, runNext));
+  return results;
+}
+
+async function runFeatures(paths: readonly string[]): Promise<Outcomes> {
+  const startMs = performance.now();
+  const program = ["tools/dist/run_features.js", ...paths];
+  const { output } = await runProgram(process.execPath, program);
+  const line = output.split("\n").findLast((text) =>
+    text.startsWith("outcomes ")
   );
-  return result.success;
+  const seconds = ((performance.now() - startMs) / 1_000).toFixed(0);
+  const what = paths.length === 1 ? paths[0] : `${paths.length} features`;
+  if (!line) {
+    console.log(output);
+    console.log(`ended without outcomes: ${what}`);
+    return {
+      passed: [],
+      failed: [`${what}: ended without outcomes`],
+      hooksFailed: false,
+    };
+  }
+  const outcomes: Outcomes = JSON.parse(line.slice("outcomes ".length));
+  if (outcomes.failed.length > 0 || outcomes.hooksFailed) console.log(output);
+  console.log(
+    `${what}: ${outcomes.passed.length} passed, ${outcomes.failed.length} failed in ${seconds} s`,
+  );
+  return outcomes;
+}
+
+function runProgram(
+  command: string,
+  args: readonly string[],
+): Promise<{ readonly code: number | null; readonly output: string }> {
+  const isModel = command === "bash";
+  const child = spawn(command, [...args], {
+    stdio: [
+      "ignore",
+      isModel ? "inherit" : "pipe",
+      isModel ? "inherit" : "pipe",
+    ],
+  });
+  const chunks: string[] = [];
+  child.stdout?.on("data", (chunk) => chunks.push(String(chunk)));
+  child.stderr?.on("data", (chunk) => chunks.push(String(chunk)));
+  return new Promise((resolve) => {
+    child.once("close", (code) => resolve({ code, output: chunks.join("") }));
+  });
 }
 
 /** Scenario names from lines of the form `test: PATH: NAME`. */
@@ -95,10 +114,35 @@
   return new Set(lines.flatMap((line) => /^test: (.*)$/.exec(line)?.[1] ?? []));
 }
 
-function runModel(): boolean {
-  if (!existsSync("spec/run_model")) return true;
-  const result = spawnSync("bash", ["spec/run_model"], { stdio: "inherit" });
-  return result.status === 0;
+function report(
+  results: readonly Outcomes[],
+  options: {
+    readonly modelPassed: boolean;
+    readonly known: ReadonlySet<string>;
+  },
+): void {
+  const { known, modelPassed } = options;
+  const passed = results.flatMap((result) => result.passed);
+  const failed = results.flatMap((result) => result.failed);
+  const hooks = results.filter((result) => result.hooksFailed);
+  const unexpected = failed.filter((name) => !known.has(name));
+  const repaired = passed.filter((name) => known.has(name));
+  for (const name of failed.filter((name) => known.has(name))) {
+    console.log(`known red: ${name}`);
+  }
+  for (const name of repaired) {
+    console.log(`listed in KNOWN-RED.txt but passes: ${name}`);
+  }
+  for (const name of unexpected) console.log(`failed: ${name}`);
+  for (const _hook of hooks) {
+    console.log("failed: a hook outside the scenarios, see above");
+  }
+  if (!modelPassed) console.log("failed: the model, see above");
+  const bad = unexpected.length + repaired.length + hooks.length +
+    (modelPassed ? 0 : 1);
+  const good = passed.length - repaired.length + (modelPassed ? 1 : 0);
+  console.log(`${good} passed, ${bad} failed`);
+  process.exitCode = bad === 0 && passed.length > 0 ? 0 : 1;
 }
 
 await main();
