Say "not run" of a key only when no instance can have run it

Ruled out: a check of the own state, which lacks just what the others wrote since. Change: without a read of the log after the request came, a call with a key is refused as unknown; so are those that a stopping instance, one without a bundle or one that is not registered turns away. Two expectations of the outage scenario change from not_run to unknown, since a first try and a repeat look alike to such an instance: the check is the stricter one now. Conclusion: a caller that acts on "not run" never books twice; in an outage of the log a new booking is told unknown, and its key settles it.

--- a/packages/core/src/request/calls/keyed_call.ts
+++ b/packages/core/src/request/calls/keyed_call.ts
@@ -82,8 +82,14 @@
   if (isKeyExpired(book.stream.getState(), call.id.key)) {
     return Left(refuseExpired());
   }
+  const arrivedMs = performance.now();
   const intent = await appendIntent(call, context);
-  if (intent === undefined) return Left(refuseLogOutage());
+  if (intent === undefined) {
+    const readMs = performance.now() - book.stream.getAgeMs();
+    const known = findCall(book.stream.getState(), call.id);
+    const isKeyFree = readMs > arrivedMs && known === undefined;
+    return Left(refuseLogOutage({ isKeyFree }));
+  }
   const entry = findCall(book.stream.getState(), call.id);
   if (!entry) {
     return Left(refuseVoidIntent(book.stream.getState(), call.id.key));
--- a/packages/core/src/request/calls/refusals.ts
+++ b/packages/core/src/request/calls/refusals.ts
@@ -52,11 +52,19 @@
   });
 }
 
-/** The log did not take the intent. */
-export function refuseLogOutage(): Refusal {
+/**
+ * The log did not take the intent. "Not run" is true of the key only when the
+ * log was read after the request came and the key was free: otherwise an
+ * earlier request with the key may have run at another instance.
+ */
+export function refuseLogOutage(
+  options: { readonly isKeyFree: boolean },
+): Refusal {
   return buildRefusal(RefusalReason.LogUnavailable, {
-    outcome: Outcome.NotRun,
-    message: "the log did not take the call, so this request was not run",
+    outcome: options.isKeyFree ? Outcome.NotRun : Outcome.Unknown,
+    message: options.isKeyFree
+      ? "the log did not take the call, so it was not run"
+      : "this request was not run, but an earlier one with its key may have been",
     retryAfterMs: logRetryAfterMs,
   });
 }
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -155,9 +155,11 @@
   if (isIdempotent(call) || parts.isRegistered()) {
     return await runCall(call, createCallContext(version, parts));
   }
+  const isKeyed = call.request.key !== undefined;
   return Left({
     reason: RefusalReason.LogUnavailable,
-    outcome: Outcome.NotRun,
+    // An earlier request with the key may have run at another instance.
+    outcome: isKeyed ? Outcome.Unknown : Outcome.NotRun,
     message: "The instance is not registered in the log",
     retryAfterMs: registrationRetryMs,
   });
--- a/packages/node/src/request/services_app.ts
+++ b/packages/node/src/request/services_app.ts
@@ -4,6 +4,7 @@
   type BundleCaller,
   type BundleService,
   type CallAnswer,
+  Outcome,
   outcomeHeader,
   type Refusal,
   RefusalReason,
@@ -37,6 +38,12 @@
 ];
 const methods = ["GET", "HEAD", "POST", "PUT", "DELETE"];
 
+/** Refusals that are due to the instance's own state. */
+const instanceReasons: readonly RefusalReason[] = [
+  RefusalReason.Stopping,
+  RefusalReason.NoBundle,
+];
+
 /** What the handlers of service calls use. */
 export interface ServicesParts {
   /** Version that new calls pin, or the refusal while there is none. */
@@ -77,7 +84,8 @@
 ): Promise<void> {
   const prepared = readCall(request, parts);
   if (prepared.isLeft()) {
-    return sendRefusal(response, prepared.extract() as Refusal);
+    const refusal = prepared.extract() as Refusal;
+    return sendRefusal(response, describeForKey(refusal, request));
   }
   const { caller, service, version, request: serviceRequest } = prepared
     .unsafeCoerce();
@@ -101,6 +109,16 @@
   }
 }
 
+/**
+ * An instance that turns a call away before it looks at its key does not know
+ * whether an earlier request with the key ran.
+ */
+function describeForKey(refusal: Refusal, request: GatewayRequest): Refusal {
+  const isKeyed = request.headers[idempotencyKeyHeader] !== undefined;
+  if (!isKeyed || !instanceReasons.includes(refusal.reason)) return refusal;
+  return { ...refusal, outcome: Outcome.Unknown };
+}
+
 function readCall(
   request: GatewayRequest,
   parts: ServicesParts,
--- a/packages/standins/src/integration/calls.feature
+++ b/packages/standins/src/integration/calls.feature
@@ -33,8 +33,8 @@
     Then callers were told
       | booking | outcomes              |
       | k1      | done                  |
-      | k2      | not_run, not_run, done |
-      | k3      | not_run, done         |
+      | k2      | unknown, unknown, done |
+      | k3      | unknown, done         |
     And each booking ran at most once and as its caller was told
 
   Scenario: A suspended instance wakes up after its booking was repeated
