Take cut streams up again for as long as they bring tokens

Change: resumption counts tries without a token in between, also before the first one; a lost attempt's engine has 1.5 s to show that it is at the same start; a continued stream draws on the credit for resumption; a suspect's engine is checked against drains again after its wait.

--- a/packages/core/src/request/completion/attempt.ts
+++ b/packages/core/src/request/completion/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of a completion at one engine, with resumption on the same engine. */
 import { randomUUID } from "node:crypto";
+import { waitFor } from "../../shared/index.ts";
 import {
   Effect,
   type EngineClient,
@@ -16,8 +17,9 @@
   CompletionRoute,
 } from "./types.ts";
 
-/** Times that a broken stream is taken up again at the same engine. */
+/** Successive tries without a token at taking a broken stream up again. */
 const maxResumes = 2;
+const resumePauseMs = 50;
 
 /** What an attempt starts from. */
 export interface AttemptStart {
@@ -40,34 +42,64 @@
   const work = parts.openWork(start.call, start.route);
   const attemptId = randomUUID();
   let finished = false;
-  let broken: unknown;
   try {
     const request = await buildRequest(start, { parts, attemptId });
-    for (let resumes = 0; !finished; resumes++) {
-      try {
-        const source = streamWithProgress({
-          open: (signal) =>
-            resumes === 0 ? engine.generate(request, signal) : engine.resume(
-              { attemptId, fromIndex: start.delivered.length },
-              signal,
-            ),
-          signal: start.signal,
-          getBoundMs: work.getStallMs,
-        });
-        yield* passEvents(source, { start, work });
-        finished = true;
-      } catch (error) {
-        // What broke the stream says more than what kept it from resuming.
-        broken ??= error;
-        if (!canResume(error, start) || resumes === maxResumes) throw broken;
-      }
-    }
+    const open = (signal: AbortSignal): AsyncIterable<GenerateEvent> =>
+      engine.generate(request, signal);
+    const resume = (signal: AbortSignal): AsyncIterable<GenerateEvent> =>
+      engine.resume(
+        { attemptId, fromIndex: start.delivered.length },
+        signal,
+      );
+    yield* streamWithResumes(start, { open, resume, work });
+    finished = true;
   } finally {
     work.close();
     if (!finished) cancelAttempt(engine, attemptId);
   }
 }
 
+/** Ways to get an attempt's stream. */
+interface AttemptStreams {
+  readonly open: (signal: AbortSignal) => AsyncIterable<GenerateEvent>;
+  /** Continues after the tokens that were delivered. */
+  readonly resume: (signal: AbortSignal) => AsyncIterable<GenerateEvent>;
+  readonly work: AttemptWork;
+}
+
+/** Takes a broken stream up again for as long as each try brings tokens. */
+async function* streamWithResumes(
+  start: AttemptStart,
+  streams: AttemptStreams,
+): AsyncGenerator<GenerateEvent> {
+  const { work } = streams;
+  let open = streams.open;
+  let broken: unknown;
+  for (let failures = 0;;) {
+    const before = start.delivered.length;
+    try {
+      const source = streamWithProgress({
+        open,
+        signal: start.signal,
+        getBoundMs: work.getStallMs,
+      });
+      yield* passEvents(source, { start, work });
+      return;
+    } catch (error) {
+      if (start.delivered.length > before) {
+        failures = 0;
+        broken = undefined;
+      }
+      // What broke the stream says more than what kept it from resuming.
+      broken ??= error;
+      failures += 1;
+      if (!canResume(error, start) || failures > maxResumes) throw broken;
+    }
+    open = streams.resume;
+    await waitFor(failures * resumePauseMs, start.signal);
+  }
+}
+
 async function buildRequest(
   start: AttemptStart,
   { parts, attemptId }: {
@@ -122,8 +154,12 @@
 
 function canResume(error: unknown, start: AttemptStart): boolean {
   if (start.signal.aborted || !(error instanceof RemoteError)) return false;
+  // A request that never reached the engine has nothing to resume there.
+  if (error.effect === Effect.None && start.delivered.length === 0) {
+    return false;
+  }
   const lost = [RemoteFailure.Unreachable, RemoteFailure.Timeout];
-  return lost.includes(error.failure) && start.delivered.length > 0;
+  return lost.includes(error.failure);
 }
 
 function makeGapError(index: number, expected: number): RemoteError {
--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -29,6 +29,9 @@
 } from "./types.ts";
 
 const probeTimeoutMs = 500;
+const probePauseMs = 100;
+/** Time for a lost request's engine to answer before it counts as crashed, in ms. */
+const probeTimeMs = 1_500;
 const firstTokenSlackMs = 5_000;
 const tokenSlackMs = 2_000;
 /** Multiple of an estimate after which silence is no longer explained. */
@@ -71,8 +74,11 @@
       chooseEngine(call, context, { version, excluded }),
     getEngine: version.getEngine,
     openWork: (call, route) => openAttemptWork(call, route, { context }),
-    allowRetry: (engine) =>
-      context.budget.allowRepeat(engine, RepeatKind.Retry),
+    allowRetry: (engine, { delivered }) =>
+      context.budget.allowRepeat(
+        engine,
+        delivered > 0 ? RepeatKind.Resume : RepeatKind.Retry,
+      ),
     noteAttemptEnd: (call, attempt) =>
       noteEnd(call, attempt, { context, version }),
   };
@@ -120,7 +126,10 @@
       getDelayMs: version.getDelayMs,
     });
   if (verdict === SuspectVerdict.Alone) {
-    return await chooseTrial(call, context, { choose, excluded });
+    const isUsable = (engine: EndpointName): boolean =>
+      version.listEngines(call).has(engine) &&
+      (context.table.getView(engine)?.usable ?? false);
+    return await chooseTrial(call, context, { choose, excluded, isUsable });
   }
   const route = choose(excluded);
   route.ifRight(({ engine }) => context.budget.noteAccepted(engine));
@@ -148,6 +157,8 @@
     exclude: ReadonlySet<EndpointName>,
   ) => Either<Refusal, Route>;
   readonly excluded: ReadonlySet<EndpointName>;
+  /** Whether the engine takes work at this moment. */
+  readonly isUsable: (engine: EndpointName) => boolean;
 }
 
 /** Waits, for a bounded time, for an engine on which a suspect request is the only suspect. */
@@ -164,7 +175,8 @@
     await waitFor(context.exchangeMs * (1 + context.random()));
     const verdict = context.suspects.judge(call.digest);
     if (opened && verdict !== SuspectVerdict.Refused) {
-      const usable = context.table.getView(opened.engine)?.usable ?? false;
+      // The engine may have been drained, or have failed, meanwhile.
+      const usable = options.isUsable(opened.engine);
       if (usable && context.suspects.checkTrial(call.digest)) {
         const route = { ...opened, prefillOn: undefined };
         return Right(reserveRoute(route, call, { context }));
@@ -274,32 +286,48 @@
   suspects.closeTrial(call.digest);
 }
 
-/** Asks an engine for its state, so that a retry knows whether the request crashed it. */
+/**
+ * Finds out whether a lost request's engine crashed, before any retry. A link
+ * that was cut leaves the engine at the same start.
+ */
 async function noteCrashIfGone(
   engine: EndpointName,
-  { context, version }: {
+  options: {
     readonly context: CompletionContext;
     readonly version: VersionRoutes;
   },
 ): Promise<void> {
-  const known = context.table.getView(engine)?.report?.startId;
+  const { table, suspects, inFlight } = options.context;
+  const view = table.getView(engine);
+  const known = view?.report?.startId;
   if (known === undefined) return;
-  const probe = new AbortController();
-  const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
-  try {
-    const state = await version.getEngine(engine).fetchState(probe.signal);
-    if (state.startId === known) return;
-  } catch {
-    // An engine that cannot answer counts as crashed until it shows otherwise.
-    context.table.observeFlags(engine, { silent: true });
-  } finally {
-    clearTimeout(timer);
-  }
-  context.suspects.noteCrash(engine, context.inFlight.listSuspects(engine), {
+  const found = view?.silent ? undefined : await findStartId(engine, options);
+  if (found === known) return;
+  // An engine that cannot answer counts as crashed until it shows otherwise.
+  if (found === undefined) table.observeFlags(engine, { silent: true });
+  suspects.noteCrash(engine, inFlight.listSuspects(engine), {
     startId: known,
   });
 }
 
+/** Asks for an engine's start until it answers or the time for that is over. */
+async function findStartId(
+  engine: EndpointName,
+  { version }: { readonly version: VersionRoutes },
+): Promise<string | undefined> {
+  const endMs = performance.now() + probeTimeMs;
+  while (performance.now() < endMs) {
+    const probe = new AbortController();
+    const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
+    const state = await version.getEngine(engine).fetchState(probe.signal)
+      .catch(() => undefined);
+    clearTimeout(timer);
+    if (state) return state.startId;
+    await waitFor(probePauseMs);
+  }
+  return undefined;
+}
+
 function refuseSuspect(): Refusal {
   return {
     reason: RefusalReason.Suspect,
--- a/packages/core/src/request/completion/run.ts
+++ b/packages/core/src/request/completion/run.ts
@@ -105,7 +105,10 @@
       return;
     }
     state.excluded.add(route.engine);
-    if (attempt < maxAttempts && parts.allowRetry(route.engine)) continue;
+    if (
+      attempt < maxAttempts &&
+      parts.allowRetry(route.engine, { delivered: state.delivered.length })
+    ) continue;
     yield { kind: "refused", refusal: refuseFailed(failure, state) };
     return;
   }
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -99,7 +99,10 @@
     route: CompletionRoute,
   ) => AttemptWork;
   /** Asks for one more endpoint call on behalf of a request that had one. */
-  readonly allowRetry: (engine: EndpointName) => boolean;
+  readonly allowRetry: (
+    engine: EndpointName,
+    progress: { readonly delivered: number },
+  ) => boolean;
   /** Resolves once it is known whether a lost attempt crashed its engine. */
   readonly noteAttemptEnd: (
     call: CompletionCall,
