Keep what a process knows of its own orders across a restart of its tasks

Cause: the memory of sent orders was made anew when the task of the pools was restarted after an error. An open order of the earlier run then looked as if it had never been sent, and would have been closed while the engine could still get it. Change: the memory is created once, where the tasks are started.

--- a/packages/node/src/process/pools.ts
+++ b/packages/node/src/process/pools.ts
@@ -1,6 +1,5 @@
 /** One lease and one task for each pool of the bundle in force. */
 import {
-  createOwnOrders,
   createPlanner,
   keepLease,
   keepPool,
@@ -28,11 +27,15 @@
 /** Keeps the pools until the instance ends; then releases their leases. */
 export async function keepPools(
   instance: Instance,
-  options: { readonly isStopping: () => boolean },
+  options: {
+    /** Lives as long as the process, so that a restart of this task knows what was sent. */
+    readonly own: OwnOrders;
+    readonly isStopping: () => boolean;
+  },
 ): Promise<void> {
+  const { own } = options;
   const { signal } = instance.ending;
   const tasks = new Map<PoolName, PoolTask>();
-  const own = createOwnOrders();
   const shared = {
     instance: instance.name,
     stream: instance.streams.control,
@@ -58,7 +61,7 @@
     }
     for (const pool of wanted) {
       if (tasks.has(pool)) continue;
-      tasks.set(pool, startTask(pool, instance, { own, ...options }));
+      tasks.set(pool, startTask(pool, instance, options));
     }
     await waitFor(followIntervalMs, signal);
   }
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -4,6 +4,7 @@
   confirmDrains,
   createCallLookUp,
   createEndpointWatch,
+  createOwnOrders,
   type EndpointName,
   type EndpointWatchOptions,
   isEngineDrained,
@@ -40,6 +41,7 @@
   },
 ): Promise<void> {
   const { signal } = instance.ending;
+  const own = createOwnOrders();
   const tasks: Readonly<Record<string, () => Promise<void>>> = {
     members: () => instance.members.keep(signal),
     peers: () => keepPeers(createPeersParts(instance, options), signal),
@@ -48,7 +50,7 @@
     calls: () => keepCalls(instance),
     burn: () => keepBurnSummaries(instance),
     drains: () => keepDrainsConfirmed(instance),
-    pools: () => keepPools(instance, options),
+    pools: () => keepPools(instance, { ...options, own }),
     gauges: () => instance.metrics.keepGauges(options.readGauges, signal),
   };
   const running = Object.entries(tasks).map(([name, run]) =>
