--- a/packages/standins/src/integration/authority.steps.ts
+++ b/packages/standins/src/integration/authority.steps.ts
@@ -9,7 +9,7 @@
 } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
 import { startFleet } from "../fleet/index.ts";
-import { checkHistory, replayModel } from "../history/index.ts";
+import { replayModel } from "../history/index.ts";
 import { listCountedRecords } from "../history/replay_model.ts";
 import { NewConnections } from "../relay/index.ts";
 import { Outage } from "../shared/index.ts";
@@ -22,6 +22,7 @@
   observeVersions,
   waitForVersion,
 } from "./authority_world.ts";
+import { closeChecked } from "./close_checked.ts";
 
 const timeout = { timeout: authorityTimeoutMs };
 
@@ -40,19 +41,7 @@
 );
 
 After(timeout, async function (this: Partial<AuthorityWorld>): Promise<void> {
-  const fleet = this.authorityFleet;
-  if (!fleet) return;
-  const { control, calls } = listEntries(fleet);
-  const engines = fleet.engines.map(({ name, standin }) => ({
-    name,
-    orders: standin.listOrders(),
-    conflicts: standin.listConflicts(),
-  }));
-  const runs = fleet.services.flatMap(({ standin }) =>
-    standin.listRuns().flatMap(({ key }) => key ? [key] : [])
-  );
-  await fleet.close();
-  assert.deepEqual(checkHistory({ control, calls }, { engines, runs }), []);
+  if (this.authorityFleet) await closeChecked(this.authorityFleet);
 });
 
 When(
--- a/packages/standins/src/integration/calls.steps.ts
+++ b/packages/standins/src/integration/calls.steps.ts
@@ -17,6 +17,7 @@
   sendBooking,
   startFaultFleet,
 } from "./fault_world.ts";
+import { closeChecked } from "./close_checked.ts";
 
 const timeout = { timeout: faultStepTimeoutMs };
 const callsPath = "/streams/calls/entries";
@@ -190,7 +191,7 @@
   for (const instance of this.faultInstances?.values() ?? []) {
     if (instance.isRunning()) instance.resume();
   }
-  await this.faultFleet?.close();
+  if (this.faultFleet) await closeChecked(this.faultFleet);
 });
 
 /** Resolves once the step was seen and the instance was hit. */
--- a/packages/standins/src/integration/fleet.steps.ts
+++ b/packages/standins/src/integration/fleet.steps.ts
@@ -11,6 +11,7 @@
   startBackgroundLoad,
   stepTimeoutMs,
 } from "./fleet_world.ts";
+import { closeChecked } from "./close_checked.ts";
 
 const timeout = { timeout: stepTimeoutMs };
 const shares: Readonly<Record<string, number>> = { fifth: 0.2, half: 0.5 };
@@ -86,6 +87,6 @@
 );
 
 After(timeout, async function (this: Partial<FleetWorld>): Promise<void> {
-  await this.standinFleet?.close();
+  if (this.standinFleet) await closeChecked(this.standinFleet);
   await this.standinLoad?.finish();
 });
