Describe orders and rollouts in one place

Cause: the command line and the library each told in words of their own what an order waits for and how far an engine is. Conclusion: one change of a rule changes what operators read.

--- a/packages/core/src/process/rollout/describe_rollout.ts
+++ b/packages/core/src/process/rollout/describe_rollout.ts
@@ -21,6 +21,8 @@
   Draining = "draining",
   Changing = "changing",
   Waiting = "waiting",
+  /** The order under the bundle in force did not reach its target. */
+  Failed = "failed",
   /** Neither its last order nor the engine itself tells. */
   Unknown = "unknown",
 }
@@ -94,6 +96,9 @@
   const ordered = order?.closed?.reached && !order.fenceOnly
     ? order.target
     : undefined;
+  const isOwn = order?.version === getVersionInForce(state);
+  const hasFailed = order?.closed?.reached === false && !order.fenceOnly;
+  if (isOwn && hasFailed && !options.target) return RolloutProgress.Failed;
   const target = options.target ?? ordered;
   if (!target) return RolloutProgress.Unknown;
   const wanted = { role: target.role, models: pool.models };
--- a/packages/ctl/src/commands/bundle_views.ts
+++ b/packages/ctl/src/commands/bundle_views.ts
@@ -110,7 +110,7 @@
       pool,
       holder,
       progress.reduce((sum, row) => sum + row.engines, 0),
-      progress.reduce((sum, row) => sum + row.progress.current, 0),
+      progress.reduce((sum, row) => sum + row.progress.done, 0),
       progress[0]?.halted,
     ]),
     empty: "the bundle has no pools",
--- a/packages/ctl/src/commands/fleet_views.ts
+++ b/packages/ctl/src/commands/fleet_views.ts
@@ -3,17 +3,14 @@
   type ControlState,
   type Member,
   type MemberState,
+  RolloutProgress,
 } from "@trefoildoor/core";
 import type { Command } from "../command.ts";
 import { ExitCode } from "../exit_codes.ts";
 import { readControl, withFleet } from "../fleet.ts";
 import { printResult, renderTable } from "../output.ts";
 import { listOrders } from "../views/describe_orders.ts";
-import {
-  EngineProgress,
-  getEngineProgress,
-  listRollout,
-} from "../views/describe_rollout.ts";
+import { getEngineProgress, listRollout } from "../views/describe_rollout.ts";
 
 /** Lists the system's own processes. */
 export const showInstances: Command = {
@@ -127,7 +124,7 @@
   },
 };
 
-const progressColumns = Object.values(EngineProgress);
+const progressColumns = Object.values(RolloutProgress);
 
 /** One process of the system. */
 interface InstanceRow {
@@ -164,7 +161,7 @@
   readonly listed?: MemberState;
   /** Role by the newest order, else the one the bundle starts it in. */
   readonly role?: string;
-  readonly progress?: EngineProgress;
+  readonly progress?: RolloutProgress;
 }
 
 function listEndpoints(
@@ -180,7 +177,7 @@
       address: engine.address,
       ...getListed(members, engine.name),
       role: state.orders[engine.name]?.target.role ?? engine.role,
-      progress: getEngineProgress(state, pool, engine),
+      progress: getEngineProgress(state, engine.name),
     }))
   );
   const services = (bundle?.services ?? []).flatMap((service) =>
