Halve the exchange with peers and mend three small faults

Cause: at 500 ms the exchange with eight peers took 3.5% of a core; a pool task that was started again left the earlier ones running; a parser's message quoted an answer's text into errors; probes warned of too many listeners. Change: the default interval is 1,000 ms; pool tasks stop whenever their keeper ends; errors of parsers are described without what was read; the probes' signal takes as many listeners as there are connections.

--- a/packages/core/src/connection/endpoint/keep_endpoint.ts
+++ b/packages/core/src/connection/endpoint/keep_endpoint.ts
@@ -2,6 +2,7 @@
  * One task for each endpoint: asks it for signs of life, tells a silent
  * connection from a silent endpoint, and notices a new start.
  */
+import { setMaxListeners } from "node:events";
 import { type LogEvent, logEvent, waitFor } from "../../shared/index.ts";
 import { RemoteError, RemoteFailure } from "../../types/effects.ts";
 import type { LoadReport } from "../../types/endpoints.ts";
@@ -43,6 +44,8 @@
   const { probe, observer, signal } = options;
   const log = options.logEvent ?? logEvent;
   const idlePingMs = options.idlePingMs ?? defaultIdlePingMs;
+  // Every probe and every ping of an idle connection listens to it.
+  setMaxListeners(0, signal);
   let silent = false;
   let startId: string | undefined;
   let pingedMs = performance.now();
--- a/packages/core/src/connection/http/http_errors.ts
+++ b/packages/core/src/connection/http/http_errors.ts
@@ -112,14 +112,20 @@
 ): RemoteError {
   if (error instanceof RemoteError) return error;
   const { sent, call } = options;
-  const reason = error instanceof Error ? error.message : String(error);
-  return new RemoteError(`${call.method} failed: ${reason}`, {
+  return new RemoteError(`${call.method} failed: ${describeCause(error)}`, {
     failure: findFailure(error, call),
     effect: call.readOnly || !sent ? Effect.None : Effect.Unknown,
     cause: error,
   });
 }
 
+/** A parser's message quotes what it read, which belongs to a caller. */
+function describeCause(error: unknown): string {
+  if (error instanceof SyntaxError) return "answer is not JSON";
+  if (error instanceof z.ZodError) return "answer has an unexpected shape";
+  return error instanceof Error ? error.message : String(error);
+}
+
 function findFailure(error: unknown, call: HttpCall): RemoteFailure {
   if (call.signal?.aborted) return RemoteFailure.Aborted;
   const isMalformed = error instanceof z.ZodError ||
--- a/packages/node/src/process/pools.ts
+++ b/packages/node/src/process/pools.ts
@@ -51,7 +51,7 @@
         [...tasks.values()].some(({ lease }) => lease.isHeld()),
     }),
   ];
-  while (!signal.aborted) {
+  const followPools = (): void => {
     const view = instance.getVersion();
     const wanted = new Set(view?.bundle.pools.map(({ name }) => name));
     for (const [pool, task] of tasks) {
@@ -63,9 +63,16 @@
       if (tasks.has(pool)) continue;
       tasks.set(pool, startTask(pool, instance, options));
     }
-    await waitFor(followIntervalMs, signal);
+  };
+  try {
+    while (!signal.aborted) {
+      followPools();
+      await waitFor(followIntervalMs, signal);
+    }
+  } finally {
+    // A task that is started again must not find two leaders of one pool.
+    await Promise.all([...tasks.values()].map(stopTask));
   }
-  await Promise.all([...tasks.values()].map(stopTask));
   await Promise.all(housekeeping);
 }
 
--- a/packages/node/src/settings/schema.ts
+++ b/packages/node/src/settings/schema.ts
@@ -50,7 +50,7 @@
   ca: secretSchema.optional().describe(
     "Certificate authority of the peers' certificates, in PEM",
   ),
-  exchange_interval_ms: z.int().min(50).default(500)
+  exchange_interval_ms: z.int().min(50).default(1_000)
     .describe("Time between two exchanges with a peer, in ms"),
 });
 
