--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -172,7 +172,7 @@
   while (performance.now() < giveUpMs) {
     const opened = openTrial(call, context, options);
     // Another instance may open a trial of the request, or on the engine, meanwhile.
-    await waitFor(context.exchangeMs * (1 + context.random()));
+    await waitFor(context.exchangeMs * (1 + context.random() / 2));
     const verdict = context.suspects.judge(call.digest);
     if (opened && verdict !== SuspectVerdict.Refused) {
       // The engine may have been drained, or have failed, meanwhile.
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -44,6 +44,8 @@
 } from "./streams.ts";
 
 const nameSuffixLength = 8;
+/** Time that an exchange itself takes at most while links are whole, in ms. */
+const exchangeSlackMs = 200;
 
 /** Everything that the tasks and handlers of one instance share. */
 export interface Instance {
@@ -128,7 +130,7 @@
       budget: createRetryBudget(),
       ownDomain: settings.failure_domain,
       random: Math.random,
-      exchangeMs: 2 * settings.peers.exchange_interval_ms,
+      exchangeMs: settings.peers.exchange_interval_ms + exchangeSlackMs,
     },
     clients,
     book,
