Bound each step of a planned stop

Change: results are recorded before the tasks end; each closing has 5 s, which comes after the last answer has left. Conclusion: no connection to something silent can hold up the end of a process that has no work left.

--- a/packages/node/src/process/daemon.ts
+++ b/packages/node/src/process/daemon.ts
@@ -24,7 +24,9 @@
 import { createWorkCount, type WorkCount } from "./work_count.ts";
 
 const noBundleRetryMs = 1_000;
-const stopRecordTimeoutMs = 3_000;
+/** Longest time for the last records of a stop to reach the log, in ms. */
+const recordTimeoutMs = 3_000;
+const closeTimeoutMs = 5_000;
 
 /** A running instance. */
 export interface Daemon {
@@ -195,24 +197,33 @@
   const left = await work.waitUntilIdle(deadlineMs);
   if (left > 0) logEvent(daemonEvents.stopCut, { calls: left });
   const closing = parts.gateway.close();
+  await waitAtMost(instance.book.drain(), recordTimeoutMs);
   instance.ending.abort();
   const records = Promise.all([parts.tasks, recordStop(instance)]);
-  await Promise.race([records, waitFor(stopRecordTimeoutMs)]);
-  await instance.close();
-  await parts.peerServer.close();
-  if (left === 0) await closing;
+  await waitAtMost(records, recordTimeoutMs);
+  // A connection to something that no longer answers must not hold the stop up.
+  await waitAtMost(instance.close(), closeTimeoutMs);
+  await waitAtMost(parts.peerServer.close(), closeTimeoutMs);
+  if (left === 0) await waitAtMost(closing, closeTimeoutMs);
   logEvent(daemonEvents.stopped, {
     outcome: left === 0 ? Outcome.Done : Outcome.Unknown,
   });
 }
 
 async function recordStop(instance: Instance): Promise<void> {
-  await instance.book.drain();
-  await instance.streams.control.append([{
+  const { control } = instance.streams;
+  const record = {
     kind: RecordKind.InstanceStopped,
     instance: instance.name,
-  }])
-    .catch(() => undefined);
+  } as const;
+  await control.append([record]).catch(() => undefined);
+}
+
+async function waitAtMost(
+  ending: Promise<unknown>,
+  timeoutMs: number,
+): Promise<void> {
+  await Promise.race([ending, waitFor(timeoutMs)]);
 }
 
 function isStopping(life: Life): boolean {
