Let the deadline end the search for an engine and for a crash

Cause: a suspect request waited up to 15 s for an engine of its own, and a lost one up to 1.5 s for its engine's word, without regard to its deadline or to a caller that had left; its final answer came that much late. Figures: a scenario on the paused clock has its answer at the deadline of 2,000 ms; the code before waited for the whole search. Conclusion: a request that is given up on gets its answer at once.

--- a/packages/core/src/request/completion/completion.feature
+++ b/packages/core/src/request/completion/completion.feature
@@ -37,3 +37,9 @@
     And an engine "two" that answers
     When a completion of 4 tokens runs
     Then the events of the completion match the snapshot
+
+  Scenario: The deadline ends the search for an engine at once
+    Given a choice of engines that takes 60000 ms
+    When a completion of 3 tokens runs with a deadline of 2000 ms
+    Then the events of the completion match the snapshot
+    And the completion ended after 2000 ms
--- a/packages/core/src/request/completion/completion.steps.ts
+++ b/packages/core/src/request/completion/completion.steps.ts
@@ -1,4 +1,5 @@
 /** Steps of `completion.feature`. */
+import assert from "node:assert/strict";
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
 import { Left, Right } from "purify-ts";
@@ -15,6 +16,7 @@
   RemoteError,
   RemoteFailure,
 } from "../../types/index.ts";
+import { waitFor } from "../../shared/index.ts";
 import { streamCompletion } from "./run.ts";
 import type { CompletionCall, CompletionParts } from "./types.ts";
 
@@ -32,6 +34,8 @@
   completionClock?: PausedClock;
   scripts: Map<string, EngineScript>;
   history: unknown[];
+  choiceMs?: number;
+  endedMs?: number;
   matchSnapshot: (received: unknown) => void;
 }
 
@@ -97,6 +101,20 @@
   },
 );
 
+Given(
+  "a choice of engines that takes {int} ms",
+  function (this: CompletionWorld, choiceMs: number): void {
+    this.choiceMs = choiceMs;
+  },
+);
+
+Then(
+  "the completion ended after {int} ms",
+  function (this: CompletionWorld, ms: number): void {
+    assert.equal(this.endedMs, ms);
+  },
+);
+
 When(
   "a completion of {int} tokens runs",
   async function (this: CompletionWorld, tokens: number): Promise<void> {
@@ -145,6 +163,7 @@
   world.completionClock = clock;
   const call = buildCall(options);
   const signal = new AbortController().signal;
+  const startMs = performance.now();
   let ended = false;
   const reading = (async (): Promise<void> => {
     for await (
@@ -155,6 +174,7 @@
         await new Promise((resolve) => setTimeout(resolve, options.readMs));
       }
     }
+    world.endedMs = performance.now() - startMs;
     ended = true;
   })();
   for (let step = 0; !ended && step < mostSteps; step++) {
@@ -192,25 +212,24 @@
   return {
     admit: () =>
       Promise.resolve(Right({ noteFirstToken: () => {}, close: () => {} })),
-    choose: (_call, excluded) => {
+    choose: async (_call, excluded, { signal }) => {
+      if (world.choiceMs) await waitFor(world.choiceMs, signal);
       const engine = [...world.scripts.keys()].find((name) =>
         !excluded.has(name)
       );
       if (engine === undefined) {
-        return Promise.resolve(Left({
+        return Left({
           reason: RefusalReason.NoEndpoint,
           outcome: Outcome.NotRun,
           message: "No engine is left",
-        }));
+        });
       }
       const estimates = {
         expectedFirstTokenMs: 0,
         expectedTokenMs: 0,
         cachedTokens: 0,
       };
-      return Promise.resolve(
-        Right({ engine, ...estimates, release: () => {} }),
-      );
+      return Right({ engine, ...estimates, release: () => {} });
     },
     getEngine: (name) => buildEngine(name, world),
     openWork: () => ({
--- a/packages/core/src/request/completion/parts.ts
+++ b/packages/core/src/request/completion/parts.ts
@@ -70,8 +70,8 @@
 ): CompletionParts {
   return {
     admit: (call, signal) => admitCall(call, context, { signal }),
-    choose: (call, excluded) =>
-      chooseEngine(call, context, { version, excluded }),
+    choose: (call, excluded, { signal }) =>
+      chooseEngine(call, context, { version, excluded, signal }),
     getEngine: version.getEngine,
     openWork: (call, route) => openAttemptWork(call, route, { context }),
     allowRetry: (engine, { delivered }) =>
@@ -109,9 +109,10 @@
   options: {
     readonly version: VersionRoutes;
     readonly excluded: ReadonlySet<EndpointName>;
+    readonly signal: AbortSignal;
   },
 ): Promise<Either<Refusal, CompletionRoute>> {
-  const { version, excluded } = options;
+  const { version, excluded, signal } = options;
   const verdict = context.suspects.judge(call.digest);
   if (verdict === SuspectVerdict.Refused) return Left(refuseSuspect());
   const request = buildRouteRequest(call, context);
@@ -129,7 +130,12 @@
     const isUsable = (engine: EndpointName): boolean =>
       version.listEngines(call).has(engine) &&
       (context.table.getView(engine)?.usable ?? false);
-    return await chooseTrial(call, context, { choose, excluded, isUsable });
+    return await chooseTrial(call, context, {
+      choose,
+      excluded,
+      isUsable,
+      signal,
+    });
   }
   const route = choose(excluded);
   route.ifRight(({ engine }) => context.budget.noteAccepted(engine));
@@ -159,6 +165,7 @@
   readonly excluded: ReadonlySet<EndpointName>;
   /** Whether the engine takes work at this moment. */
   readonly isUsable: (engine: EndpointName) => boolean;
+  readonly signal: AbortSignal;
 }
 
 /** Waits, for a bounded time, for an engine on which a suspect request is the only suspect. */
@@ -169,12 +176,15 @@
 ): Promise<Either<Refusal, CompletionRoute>> {
   const patienceMs = Math.min(trialPatienceMs, call.deadlineMs / 2);
   const giveUpMs = performance.now() + patienceMs;
-  while (performance.now() < giveUpMs) {
+  while (performance.now() < giveUpMs && !options.signal.aborted) {
     const opened = openTrial(call, context, options);
     // Another instance may open a trial of the request, or on the engine, meanwhile.
-    await waitFor(context.exchangeMs * (1 + context.random() / 2));
+    const pauseMs = context.exchangeMs * (1 + context.random() / 2);
+    await waitFor(pauseMs, options.signal);
     const verdict = context.suspects.judge(call.digest);
-    if (opened && verdict !== SuspectVerdict.Refused) {
+    const isWanted = !options.signal.aborted &&
+      verdict !== SuspectVerdict.Refused;
+    if (opened && isWanted) {
       // The engine may have been drained, or have failed, meanwhile.
       const usable = options.isUsable(opened.engine);
       if (usable && context.suspects.checkTrial(call.digest)) {
@@ -271,7 +281,7 @@
 
 async function noteEnd(
   call: CompletionCall,
-  attempt: { readonly engine: EndpointName; readonly end: AttemptEnd },
+  attempt: Parameters<CompletionParts["noteAttemptEnd"]>[1],
   options: {
     readonly context: CompletionContext;
     readonly version: VersionRoutes;
@@ -281,7 +291,10 @@
   if (attempt.end === AttemptEnd.Finished) suspects.noteCompleted(call.digest);
   if (attempt.end === AttemptEnd.Lost) {
     inFlight.noteLoss(attempt.engine, call.digest);
-    await noteCrashIfGone(attempt.engine, options);
+    await noteCrashIfGone(attempt.engine, {
+      ...options,
+      signal: attempt.signal,
+    });
   }
   suspects.closeTrial(call.digest);
 }
@@ -295,6 +308,7 @@
   options: {
     readonly context: CompletionContext;
     readonly version: VersionRoutes;
+    readonly signal: AbortSignal;
   },
 ): Promise<void> {
   const { table, suspects, inFlight } = options.context;
@@ -303,6 +317,8 @@
   if (known === undefined) return;
   const found = view?.silent ? undefined : await findStartId(engine, options);
   if (found === known) return;
+  // The endpoint's own task sees the crash where the search was broken off.
+  if (found === undefined && options.signal.aborted) return;
   // An engine that cannot answer counts as crashed until it shows otherwise.
   if (found === undefined) table.observeFlags(engine, { silent: true });
   suspects.noteCrash(engine, inFlight.listSuspects(engine), {
@@ -313,17 +329,22 @@
 /** Asks for an engine's start until it answers or the time for that is over. */
 async function findStartId(
   engine: EndpointName,
-  { version }: { readonly version: VersionRoutes },
+  { version, signal }: {
+    readonly version: VersionRoutes;
+    readonly signal: AbortSignal;
+  },
 ): Promise<string | undefined> {
   const endMs = performance.now() + probeTimeMs;
-  while (performance.now() < endMs) {
+  while (performance.now() < endMs && !signal.aborted) {
     const probe = new AbortController();
     const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
-    const state = await version.getEngine(engine).fetchState(probe.signal)
+    const state = await version.getEngine(engine).fetchState(
+      AbortSignal.any([probe.signal, signal]),
+    )
       .catch(() => undefined);
     clearTimeout(timer);
     if (state) return state.startId;
-    await waitFor(probePauseMs);
+    await waitFor(probePauseMs, signal);
   }
   return undefined;
 }
--- a/packages/core/src/request/completion/run.ts
+++ b/packages/core/src/request/completion/run.ts
@@ -87,11 +87,15 @@
 ): AsyncGenerator<CompletionEvent> {
   const { state, signal } = options;
   for (let attempt = 1;; attempt++) {
-    const route = (await parts.choose(call, state.excluded)).extract();
+    const chosen = await parts.choose(call, state.excluded, { signal });
+    const route = chosen.extract();
     if (isRefusal(route)) {
+      if (signal.aborted && !state.deadlinePassed) return;
       yield {
         kind: "refused",
-        refusal: { ...route, outcome: tellOutcome(state) },
+        refusal: state.deadlinePassed
+          ? refuseLate(state)
+          : { ...route, outcome: tellOutcome(state) },
       };
       return;
     }
@@ -135,7 +139,8 @@
     end = start.signal.aborted ? AttemptEnd.Abandoned : classifyEnd(error);
     return error;
   } finally {
-    await parts.noteAttemptEnd(call, { engine: route.engine, end });
+    const { engine } = route;
+    await parts.noteAttemptEnd(call, { engine, end, signal: start.signal });
   }
 }
 
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -92,6 +92,7 @@
   readonly choose: (
     call: CompletionCall,
     excluded: ReadonlySet<EndpointName>,
+    options: { readonly signal: AbortSignal },
   ) => Promise<Either<Refusal, CompletionRoute>>;
   readonly getEngine: (engine: EndpointName) => EngineClient;
   readonly openWork: (
@@ -106,6 +107,11 @@
   /** Resolves once it is known whether a lost attempt crashed its engine. */
   readonly noteAttemptEnd: (
     call: CompletionCall,
-    attempt: { readonly engine: EndpointName; readonly end: AttemptEnd },
+    attempt: {
+      readonly engine: EndpointName;
+      readonly end: AttemptEnd;
+      /** Ends the search for a crash: nobody waits for the answer any more. */
+      readonly signal: AbortSignal;
+    },
   ) => Promise<void>;
 }
--- a/packages/standins/src/experiment/bench_experiments/summary.ts
+++ b/packages/standins/src/experiment/bench_experiments/summary.ts
@@ -45,11 +45,6 @@
   return mean(runs.map((run) => run.goodput));
 }
 
-/** Mean role changes of some runs. */
-export function computeRoleChanges(runs: readonly RunFigures[]): number {
-  return mean(runs.map((run) => run.roleChanges));
-}
-
 /** Formats mean and standard deviation. */
 export function formatSpread(
   values: readonly number[],
