Tell instances which engine holds which part of a prompt

Ruled out: the export estimate itself (median estimate and result agree once parts are known), memory of the engines (no preemptions).

Now: digests carry the parts sent to engines; computing what another engine holds weighs 2.5 times; a spilled prompt copies settled parts from their holder; generating engines count as three times slower readers; exported runs avoid engines with prompts ahead.

--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -31,6 +31,9 @@
 /** Work that one instance has at endpoints, as it tells the others. */
 export type LoadReports = Readonly<Record<EndpointName, EndpointLoad>>;
 
+/** Parts of prompts that were sent to engines of late, by engine. */
+export type ReadNotes = Readonly<Record<EndpointName, readonly string[]>>;
+
 /** A call that is open at an endpoint. */
 export interface OpenCall {
   /** The prompt is computed: the first answer bytes came. */
@@ -47,15 +50,24 @@
   readonly getLoad: (endpoint: EndpointName) => EndpointLoad;
   /** Whether the endpoint has failed of late and is to be avoided. */
   readonly isSuspended: (endpoint: EndpointName) => boolean;
-  /** Leading tokens of a prompt that the endpoint has computed for this instance. */
+  /** Leading tokens of a prompt that the endpoint has computed, or is about to. */
   readonly countSeenTokens: (
     endpoint: EndpointName,
     parts: readonly PromptPart[],
+    options?: {
+      /** Time since the first of the reads, in ms, so that it has ended. */
+      readonly settledMs?: number;
+    },
   ) => number;
   /** Own work, for the other instances. */
   readonly getReports: () => LoadReports;
+  /** Parts that this instance has sent to engines in the last seconds. */
+  readonly listReads: () => ReadNotes;
   /** Takes another instance's work; it counts until it is `maxReportAgeMs` old. */
-  readonly takeReports: (instance: string, reports: LoadReports) => void;
+  readonly takeReports: (
+    instance: string,
+    reports: { readonly loads: LoadReports; readonly reads: ReadNotes },
+  ) => void;
   /** Forgets all that was known of an endpoint's process. */
   readonly forget: (endpoint: EndpointName) => void;
   /** Calls the listener whenever own work changes. */
@@ -65,20 +77,35 @@
 /** Age at which another instance's report no longer counts, in ms: three times its heartbeat. */
 const maxReportAgeMs = 3_000;
 /** Time for which computed parts are taken to stay in an engine's memory, in ms. */
-const seenTtlMs = 20_000;
+const seenTtlMs = 15_000;
 const maxSeenParts = 4_096;
+/** Time for which a read is told to the others, in ms: a few digests, as some get lost. */
+const tellReadsMs = 2_500;
 /** Failures in a row that suspend an endpoint. */
 const suspendingFailures = 2;
 const firstSuspensionMs = 500;
 const longestSuspensionMs = 4_000;
 
+/** When a part was sent to an engine, first and last. */
+interface SeenPart {
+  readonly firstMs: number;
+  readonly lastMs: number;
+}
+
 interface OwnEntry {
   calls: number;
   readTokens: number;
   failures: number;
   suspensions: number;
   suspendedUntilMs: number;
-  readonly seen: Map<string, number>;
+  readonly seen: Map<string, SeenPart>;
+}
+
+/** A read that is told to the others. */
+interface OwnRead {
+  readonly endpoint: EndpointName;
+  readonly ids: readonly string[];
+  readonly sentMs: number;
 }
 
 interface PeerEntry {
@@ -94,6 +121,7 @@
   const own = new Map<EndpointName, OwnEntry>();
   const peers = new Map<string, PeerEntry>();
   const listeners: (() => void)[] = [];
+  let ownReads: OwnRead[] = [];
 
   function getEntry(endpoint: EndpointName): OwnEntry {
     const known = own.get(endpoint);
@@ -149,12 +177,21 @@
       let open = true;
       entry.calls += 1;
       entry.readTokens += unread;
+      // Later prompts queue behind this one, so its parts count from now on.
+      const ids = work?.parts.map(({ id }) => id) ?? [];
+      noteSeen(entry, ids);
+      if (ids.length > 1) {
+        ownReads.push({
+          endpoint,
+          ids: ids.slice(0, -1),
+          sentMs: performance.now(),
+        });
+      }
       tellListeners();
       const noteRead = (): void => {
         if (unread === 0) return;
         entry.readTokens -= unread;
         unread = 0;
-        noteSeen(entry, work?.parts ?? []);
         tellListeners();
       };
       return {
@@ -185,14 +222,16 @@
     },
     isSuspended: (endpoint) =>
       (own.get(endpoint)?.suspendedUntilMs ?? -Infinity) > performance.now(),
-    countSeenTokens(endpoint, parts): number {
+    countSeenTokens(endpoint, parts, { settledMs = 0 } = {}): number {
       const seen = own.get(endpoint)?.seen;
       if (!seen) return 0;
-      const oldestMs = performance.now() - seenTtlMs;
+      const nowMs = performance.now();
       let tokens = 0;
-      for (const part of parts) {
-        if ((seen.get(part.id) ?? -Infinity) < oldestMs) return tokens;
-        tokens += part.tokens;
+      for (const { id, tokens: size } of parts) {
+        const part = seen.get(id);
+        if (!part || nowMs - part.lastMs > seenTtlMs) return tokens;
+        if (nowMs - part.firstMs < settledMs) return tokens;
+        tokens += size;
       }
       return tokens;
     },
@@ -205,9 +244,21 @@
         ]),
       );
     },
-    takeReports(instance, reports): void {
+    listReads(): ReadNotes {
+      const oldestMs = performance.now() - tellReadsMs;
+      ownReads = ownReads.filter(({ sentMs }) => sentMs >= oldestMs);
+      const notes: Record<EndpointName, string[]> = {};
+      for (const { endpoint, ids } of ownReads) {
+        notes[endpoint] = [...new Set([...(notes[endpoint] ?? []), ...ids])];
+      }
+      return notes;
+    },
+    takeReports(instance, { loads, reads }): void {
       const nowMs = performance.now();
-      peers.set(instance, { takenMs: nowMs, reports });
+      peers.set(instance, { takenMs: nowMs, reports: loads });
+      for (const [endpoint, ids] of Object.entries(reads)) {
+        noteSeen(getEntry(endpoint), ids);
+      }
       for (const [name, peer] of peers) {
         if (nowMs - peer.takenMs > maxReportAgeMs) peers.delete(name);
       }
@@ -225,11 +276,16 @@
   };
 }
 
-function noteSeen(entry: OwnEntry, parts: readonly PromptPart[]): void {
+function noteSeen(entry: OwnEntry, ids: readonly string[]): void {
   const nowMs = performance.now();
-  for (const part of parts) {
-    entry.seen.delete(part.id);
-    entry.seen.set(part.id, nowMs);
+  for (const id of ids) {
+    const known = entry.seen.get(id);
+    const kept = known && nowMs - known.lastMs <= seenTtlMs;
+    entry.seen.delete(id);
+    entry.seen.set(id, {
+      firstMs: kept ? known.firstMs : nowMs,
+      lastMs: nowMs,
+    });
   }
   for (const oldest of entry.seen.keys()) {
     if (entry.seen.size <= maxSeenParts) return;
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -13,6 +13,7 @@
   type EndpointLoad,
   type LoadReports,
   type OpenCall,
+  type ReadNotes,
 } from "./endpoint_board.ts";
 export {
   createEndpointList,
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -50,6 +50,11 @@
   return state.endsMs - performance.now();
 }
 
+/** Time since the receipt of the call, in ms. */
+export function getAgeMs(state: CallState): number {
+  return performance.now() - state.call.receivedMs;
+}
+
 /** Whether the call may run at one more endpoint after it may have run at others. */
 export function mayRunAgain(state: CallState): boolean {
   const { route } = state;
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -25,6 +25,8 @@
   readonly exporter?: ListedEndpoint;
   /** Prompt tokens that the exporter has to compute. */
   readonly exportTokens: number;
+  /** Engine from which the first of the two copies parts that it lacks. */
+  readonly copyFrom?: ListedEndpoint;
   /** Expected time until the prompt is computed and in place, in ms. */
   readonly readMs: number;
 }
@@ -39,14 +41,29 @@
   readonly ownDomain: string;
 }
 
-/** An engine that generates computes prompts this much slower than one that only computes. */
-const generatingReadFactor = 2;
+/**
+ * An engine that generates computes prompts this much slower than one that
+ * only computes: half the speed, and a step of the others between two pieces.
+ */
+const generatingReadFactor = 3;
 /** Time of an export besides computing, in ms: links, setup and the move of the memory. */
 const exportOverheadMs = 40;
 /** Time by which another failure domain is worse, in ms: a round trip and dearer moves. */
 const otherDomainMs = 15;
 /** Time by which a prompt computed between others' tokens delays these, in ms for each of its ms. */
-const interferenceShare = 0.3;
+const interferenceShare = 1;
+/** Time by which an engine other than the home of a prompt's parts is worse, in ms. */
+const awayFromHomeMs = 60;
+/** Weight of tokens that another engine holds. */
+const readAgainWeight = 1.5;
+/** Time after which a prompt that was sent to an engine is taken to be computed, in ms. */
+const settledReadMs = 1_000;
+/** Shared tokens for which a copy from another engine is worth its setup. */
+const leastCopyTokens = 1_000;
+/** Time of a copy besides its bytes, in ms. */
+const copySetupMs = 30;
+/** Tokens that engines copy from each other in a ms, with room for dearer links. */
+const copyTokensPerMs = 200;
 /** Share of an engine's slots above which new generations wait. */
 const fullShare = 0.95;
 const fullWaitMs = 500;
@@ -57,6 +74,17 @@
   readonly engine: ListedEndpoint;
   readonly tokens: number;
   readonly ms: number;
+  readonly copyFrom?: ListedEndpoint;
+}
+
+/** What the engines hold of a prompt. */
+interface Holdings {
+  /** Fewest prompt tokens that any engine lacks. */
+  readonly leastUnseen: number;
+  /** Engine from which parts can be copied. */
+  readonly source?: ListedEndpoint;
+  /** Tokens that can be copied from it. */
+  readonly copyable: number;
 }
 
 /** Chooses a placement; undefined where no engine generates. */
@@ -68,15 +96,16 @@
   const generating = usable.filter(({ role }) => role !== EngineRole.Prefill);
   if (generating.length === 0) return undefined;
   const exporting = usable.filter(({ role }) => role === EngineRole.Prefill);
+  const holdings = findHoldings(work, usable, options);
   const direct = pickLeast(
-    estimateReads(work, generating, options).map((read) => ({
+    estimateReads(work, generating, { ...options, holdings }).map((read) => ({
       read,
       cost: read.ms * (1 + interferenceShare) +
-        estimateRunMs(read.engine, options),
+        options.board.getLoad(read.engine.name).calls * perRunMs,
     })),
   );
   const exported = pickLeast(
-    estimateReads(work, exporting, options).map((read) => ({
+    estimateReads(work, exporting, { ...options, holdings }).map((read) => ({
       read,
       cost: read.ms + exportOverheadMs,
     })),
@@ -89,6 +118,7 @@
       readTokens: 0,
       exporter: exported.read.engine,
       exportTokens: exported.read.tokens,
+      copyFrom: exported.read.copyFrom,
       readMs: exported.cost + target.cost,
     };
   }
@@ -96,6 +126,7 @@
     engine: direct.read.engine,
     readTokens: direct.read.tokens,
     exportTokens: 0,
+    copyFrom: direct.read.copyFrom,
     readMs: direct.cost,
   };
 }
@@ -120,19 +151,54 @@
   return generates ? healthy : allowed;
 }
 
+/** Prompt tokens that an engine would have to compute. */
+function countUnseen(
+  work: GenerationWork,
+  engine: ListedEndpoint,
+  options: PlacementOptions,
+): number {
+  const seen = options.board.countSeenTokens(engine.name, work.parts);
+  return Math.max(work.promptTokens - seen, 1);
+}
+
+function findHoldings(
+  work: GenerationWork,
+  engines: readonly ListedEndpoint[],
+  options: PlacementOptions,
+): Holdings {
+  let leastUnseen = work.promptTokens;
+  let source: ListedEndpoint | undefined;
+  let copyable = 0;
+  for (const engine of engines) {
+    const unseen = countUnseen(work, engine, options);
+    leastUnseen = Math.min(leastUnseen, unseen);
+    const settled = options.board.countSeenTokens(engine.name, work.parts, {
+      settledMs: settledReadMs,
+    });
+    if (settled > copyable) {
+      copyable = settled;
+      source = engine;
+    }
+  }
+  return { leastUnseen, source, copyable };
+}
+
 /** What each engine would have to compute, and how long that takes with what is ahead. */
 function estimateReads(
   work: GenerationWork,
   engines: readonly ListedEndpoint[],
-  options: PlacementOptions,
+  options: PlacementOptions & { readonly holdings: Holdings },
 ): readonly Read[] {
-  const shared = work.parts.slice(0, -1);
-  const home = findHome(shared, engines);
+  const { holdings } = options;
+  const home = findHome(work.parts.slice(0, -1), engines);
   const speed = options.speeds.getTokensPerMs(options.service);
   return engines.map((engine) => {
-    const seen = options.board.countSeenTokens(engine.name, work.parts);
-    const atHome = engine.name === home ? countTokens(shared) : 0;
-    const tokens = Math.max(work.promptTokens - Math.max(seen, atHome), 1);
+    const unseen = countUnseen(work, engine, options);
+    const copied = unseen - (work.promptTokens - holdings.copyable);
+    const copies = copied >= leastCopyTokens;
+    const tokens = copies ? unseen - copied : unseen;
+    // Computing what another engine holds delays all that wait behind it.
+    const again = Math.max(tokens - holdings.leastUnseen, 0) * readAgainWeight;
     const { readTokens } = options.board.getLoad(engine.name);
     const factor = engine.role === EngineRole.Prefill
       ? 1
@@ -140,10 +206,15 @@
     const domainMs = engine.failureDomain === options.ownDomain
       ? 0
       : otherDomainMs;
+    // Without a known holder of its parts, a prompt founds them at its home.
+    const awayMs = engine.name === home ? 0 : awayFromHomeMs;
+    const copyMs = copies ? copySetupMs + copied / copyTokensPerMs : 0;
     return {
       engine,
       tokens,
-      ms: (readTokens + tokens) * factor / speed + domainMs,
+      ms: (readTokens + tokens + again) * factor / speed + domainMs + awayMs +
+        copyMs,
+      copyFrom: copies ? holdings.source : undefined,
     };
   });
 }
@@ -174,13 +245,11 @@
   engine: ListedEndpoint,
   options: PlacementOptions,
 ): number {
-  const { calls } = options.board.getLoad(engine.name);
+  const { calls, readTokens } = options.board.getLoad(engine.name);
   const fullMs = calls >= engine.slots * fullShare ? fullWaitMs : 0;
-  return calls * perRunMs + fullMs;
-}
-
-function countTokens(parts: readonly PromptPart[]): number {
-  return parts.reduce((sum, part) => sum + part.tokens, 0);
+  const speed = options.speeds.getTokensPerMs(options.service);
+  return calls * perRunMs + fullMs +
+    readTokens * generatingReadFactor / speed;
 }
 
 function pickLeast<T extends { readonly cost: number }>(
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -126,11 +126,17 @@
     endpoint: end.endpoint,
     runs: end.runs,
     left: answer.left.aborted,
-    firstByteMs: end.firstByteMs && Math.round(end.firstByteMs),
+    exportedMs: roundMs(end.exportedMs),
+    headMs: roundMs(end.headMs),
+    firstByteMs: roundMs(end.firstByteMs),
     tookMs: Math.round(performance.now() - call.receivedMs),
   });
 }
 
+function roundMs(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 function getPath(target: string): string {
   const query = target.indexOf("?");
   return query < 0 ? target : target.slice(0, query);
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -17,6 +17,7 @@
   allowSend,
   type CallState,
   closeAnswer,
+  getAgeMs,
   getLeftMs,
   isUnsent,
   mayRunAgain,
@@ -42,6 +43,8 @@
 interface Progress {
   lastId: string | undefined;
   firstByteMs: number | undefined;
+  exportedMs: number | undefined;
+  headMs: number | undefined;
 }
 
 const success = 200;
@@ -59,6 +62,8 @@
   const progress: Progress = {
     lastId: state.call.resumeAfter,
     firstByteMs: undefined,
+    exportedMs: undefined,
+    headMs: undefined,
   };
   let lost: ForwardEnd | undefined;
   while (!state.signal.aborted) {
@@ -120,8 +125,11 @@
     call: state.call.id,
     endpoint: placement?.engine.name,
     exporter: placement?.exporter?.name,
+    copyFrom: placement?.copyFrom?.name,
     readMs: placement && Math.round(placement.readMs),
     tokens: placement && placement.readTokens + placement.exportTokens,
+    promptTokens: state.call.work?.promptTokens,
+    part: state.call.work?.parts.at(-2)?.id,
     leftMs: Math.round(getLeftMs(state)),
   });
   return placement;
@@ -143,6 +151,7 @@
     const result = await exportPrompt(state, placement);
     if (result instanceof Error || result === undefined) return result;
     exported = result;
+    progress.exportedMs = getAgeMs(state);
   }
   if (!allowSend(state)) {
     releaseExport(state, placement, exported);
@@ -171,9 +180,11 @@
       leftMs: getLeftMs(state),
       rank: route.rank,
       exported,
+      copyFrom: exported ? undefined : placement.copyFrom,
       resumeAfter: progress.lastId,
     }, { signal });
     const { status, notRun } = answer.head;
+    progress.headMs = getAgeMs(state);
     if (!notRun) return { answer, placement, open, abort };
     await readBody(answer).catch(() => undefined);
     state.excluded.add(engine.name);
@@ -223,6 +234,7 @@
       leftMs: getLeftMs(state),
       rank: route.rank,
       exportOnly: true,
+      copyFrom: placement.copyFrom,
     }, { signal: AbortSignal.any([state.signal, late.signal]) });
     const body = await readBody(answer);
     const exported = answer.head.status === success && !answer.head.notRun
@@ -297,7 +309,7 @@
       status: answer.head.status,
       endpoint: placement.engine.name,
       runs: state.runs,
-      firstByteMs: progress.firstByteMs,
+      ...progress,
     };
   } catch (error) {
     end = noteFailure(state, placement.engine, { error, step: "stream" });
@@ -329,7 +341,7 @@
       progress.lastId = split.lastId ?? progress.lastId;
       if (!state.answer.isStarted()) {
         state.answer.start(answer.head.status, answer.head.headers);
-        progress.firstByteMs = performance.now() - state.call.receivedMs;
+        progress.firstByteMs = getAgeMs(state);
       }
       await state.answer.write(split.bytes);
     }
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -12,6 +12,7 @@
 import {
   allowSend,
   type CallState,
+  getAgeMs,
   getLeftMs,
   isUnsent,
   mayRunAgain,
@@ -139,7 +140,7 @@
 function deliver(state: CallState, whole: WholeAnswer): ForwardEnd {
   const { head } = whole.answer;
   state.answer.start(head.status, head.headers, { length: whole.body.length });
-  const firstByteMs = performance.now() - state.call.receivedMs;
+  const firstByteMs = getAgeMs(state);
   void state.answer.write(whole.body);
   state.answer.end();
   return {
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -99,4 +99,8 @@
   readonly runs: number;
   /** Time to the first byte for the caller, in ms. */
   readonly firstByteMs?: number;
+  /** Time until the last prompt was exported, in ms. */
+  readonly exportedMs?: number;
+  /** Time until the head of the endpoint's answer, in ms. */
+  readonly headMs?: number;
 }
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -148,6 +148,8 @@
   /** Asks for the prompt's computation only. */
   readonly exportOnly?: boolean;
   readonly exported?: ExportedPrompt;
+  /** Engine from which the endpoint first copies what it lacks of the prompt. */
+  readonly copyFrom?: ListedEndpoint;
   readonly resumeAfter?: string;
 }
 
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -176,7 +176,7 @@
     getListAgeMs: () => list.getAgeMs(),
     takeDigest(digest, fetchState): void {
       peers.hear(digest);
-      board.takeReports(digest.name, digest.loads);
+      board.takeReports(digest.name, digest);
       if (!fetching && isBehind(digest)) void takeState(digest, fetchState);
     },
   };
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -229,6 +229,7 @@
     version: fleet.getVersion()?.version ?? 0,
     listNext: fleet.getListNext(),
     loads: fleet.board.getReports(),
+    reads: fleet.board.listReads(),
     changing: roles.listOrdered(),
     stopping: life.stopping,
   });
