Choose the generating engine after the export, and put late streams behind

Ruled out: the budget's window itself.

Now: the engine that generates is chosen when the prompt is there, an export survives a refusal, a refused connection or a 421 suspends an engine at once and is told to the others; streams that cannot meet their goal go behind the others and are refused when their caller would have left.

--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -12,10 +12,12 @@
   Answered = "answered",
   /** The endpoint refused for lack of room. */
   Full = "full",
-  /** It could not be reached, broke off, or answered with wrong bytes. */
+  /** It broke off, or answered with wrong bytes. */
   Failed = "failed",
   /** It did not answer in the time in which it should have. */
   Late = "late",
+  /** Nothing listens there, or it is not what the list says. */
+  Down = "down",
   /** The caller left or the call was taken back; says nothing. */
   Withdrawn = "withdrawn",
 }
@@ -24,10 +26,23 @@
 export interface EndpointLoad {
   /** Calls that run or wait there. */
   readonly calls: number;
-  /** Prompt tokens that were sent there to be computed and are not yet. */
+  /** Prompt tokens of calls in time that were sent there and are not computed yet. */
   readonly readTokens: number;
+  /** The same of calls that are late already and go behind the others. */
+  readonly lateTokens: number;
 }
 
+/** Prompt work of one call at an endpoint. */
+export interface ReadWork {
+  readonly tokens: number;
+  readonly parts: readonly PromptPart[];
+  /** Whether the call is late already and goes behind the others. */
+  readonly late: boolean;
+}
+
+/** Endpoints that an instance found down, with the time for which they get no work, in ms. */
+export type DownNotes = Readonly<Record<EndpointName, number>>;
+
 /** Work that one instance has at endpoints, as it tells the others. */
 export type LoadReports = Readonly<Record<EndpointName, EndpointLoad>>;
 
@@ -45,7 +60,7 @@
 export interface EndpointBoard {
   readonly openCall: (
     endpoint: EndpointName,
-    work?: { readonly readTokens: number; readonly parts: readonly PromptPart[] },
+    work?: ReadWork,
   ) => OpenCall;
   readonly getLoad: (endpoint: EndpointName) => EndpointLoad;
   /** Whether the endpoint has failed of late and is to be avoided. */
@@ -66,8 +81,14 @@
   /** Takes another instance's work; it counts until it is `maxReportAgeMs` old. */
   readonly takeReports: (
     instance: string,
-    reports: { readonly loads: LoadReports; readonly reads: ReadNotes },
+    reports: {
+      readonly loads: LoadReports;
+      readonly reads: ReadNotes;
+      readonly down: DownNotes;
+    },
   ) => void;
+  /** Endpoints that this instance found down and that still get no work. */
+  readonly listDown: () => DownNotes;
   /** Forgets all that was known of an endpoint's process. */
   readonly forget: (endpoint: EndpointName) => void;
   /** Calls the listener whenever own work changes. */
@@ -83,7 +104,7 @@
 const tellReadsMs = 2_500;
 /** Failures in a row that suspend an endpoint. */
 const suspendingFailures = 2;
-const firstSuspensionMs = 500;
+const firstSuspensionMs = 700;
 const longestSuspensionMs = 4_000;
 
 /** When a part was sent to an engine, first and last. */
@@ -95,6 +116,9 @@
 interface OwnEntry {
   calls: number;
   readTokens: number;
+  lateTokens: number;
+  /** Until when this instance has found the endpoint down. */
+  downUntilMs: number;
   failures: number;
   suspensions: number;
   suspendedUntilMs: number;
@@ -129,6 +153,8 @@
     const created: OwnEntry = {
       calls: 0,
       readTokens: 0,
+      lateTokens: 0,
+      downUntilMs: -Infinity,
       failures: 0,
       suspensions: 0,
       suspendedUntilMs: -Infinity,
@@ -152,16 +178,19 @@
       entry.failures = 0;
       entry.suspensions = 0;
       entry.suspendedUntilMs = -Infinity;
+      entry.downUntilMs = -Infinity;
       return;
     }
     entry.failures += 1;
-    if (entry.failures < suspendingFailures) return;
+    const certain = end === CallEnd.Down || end === CallEnd.Late;
+    if (!certain && entry.failures < suspendingFailures) return;
     const forMs = Math.min(
       firstSuspensionMs * 2 ** entry.suspensions,
       longestSuspensionMs,
     );
     entry.suspensions += 1;
     entry.suspendedUntilMs = performance.now() + forMs;
+    if (end === CallEnd.Down) entry.downUntilMs = entry.suspendedUntilMs;
     log(fleetEvents.endpointSuspended, {
       endpoint,
       failures: entry.failures,
@@ -173,25 +202,30 @@
   return {
     openCall(endpoint, work): OpenCall {
       const entry = getEntry(endpoint);
-      let unread = work?.readTokens ?? 0;
+      const kind = work?.late ? "lateTokens" : "readTokens";
+      let unread = work?.tokens ?? 0;
       let open = true;
       entry.calls += 1;
-      entry.readTokens += unread;
-      // Later prompts queue behind this one, so its parts count from now on.
-      const ids = work?.parts.map(({ id }) => id) ?? [];
-      noteSeen(entry, ids);
-      if (ids.length > 1) {
+      entry[kind] += unread;
+      const noteParts = (): void => {
+        const ids = work?.parts.map(({ id }) => id) ?? [];
+        noteSeen(entry, ids);
+        if (ids.length < 2) return;
         ownReads.push({
           endpoint,
           ids: ids.slice(0, -1),
           sentMs: performance.now(),
         });
-      }
+      };
+      // Prompts in time queue behind each other, so their parts count from now
+      // on; a late one may wait for long.
+      if (!work?.late) noteParts();
       tellListeners();
       const noteRead = (): void => {
         if (unread === 0) return;
-        entry.readTokens -= unread;
+        entry[kind] -= unread;
         unread = 0;
+        if (work?.late) noteParts();
         tellListeners();
       };
       return {
@@ -200,7 +234,7 @@
           if (!open) return;
           open = false;
           entry.calls -= 1;
-          entry.readTokens -= unread;
+          entry[kind] -= unread;
           unread = 0;
           noteEnd(endpoint, end);
           tellListeners();
@@ -211,14 +245,16 @@
       const entry = own.get(endpoint);
       let calls = entry?.calls ?? 0;
       let readTokens = entry?.readTokens ?? 0;
+      let lateTokens = entry?.lateTokens ?? 0;
       const oldestMs = performance.now() - maxReportAgeMs;
       for (const peer of peers.values()) {
         if (peer.takenMs < oldestMs) continue;
         const report = peer.reports[endpoint];
         calls += report?.calls ?? 0;
         readTokens += report?.readTokens ?? 0;
+        lateTokens += report?.lateTokens ?? 0;
       }
-      return { calls, readTokens };
+      return { calls, readTokens, lateTokens };
     },
     isSuspended: (endpoint) =>
       (own.get(endpoint)?.suspendedUntilMs ?? -Infinity) > performance.now(),
@@ -238,9 +274,9 @@
     getReports(): LoadReports {
       const busy = [...own].filter(([, entry]) => entry.calls > 0);
       return Object.fromEntries(
-        busy.map(([name, { calls, readTokens }]) => [
+        busy.map(([name, { calls, readTokens, lateTokens }]) => [
           name,
-          { calls, readTokens },
+          { calls, readTokens, lateTokens },
         ]),
       );
     },
@@ -253,12 +289,27 @@
       }
       return notes;
     },
-    takeReports(instance, { loads, reads }): void {
+    listDown(): DownNotes {
+      const nowMs = performance.now();
+      return Object.fromEntries(
+        [...own]
+          .filter(([, { downUntilMs }]) => downUntilMs > nowMs)
+          .map(([name, { downUntilMs }]) => [name, downUntilMs - nowMs]),
+      );
+    },
+    takeReports(instance, { loads, reads, down }): void {
       const nowMs = performance.now();
       peers.set(instance, { takenMs: nowMs, reports: loads });
       for (const [endpoint, ids] of Object.entries(reads)) {
         noteSeen(getEntry(endpoint), ids);
       }
+      for (const [endpoint, leftMs] of Object.entries(down)) {
+        const entry = getEntry(endpoint);
+        entry.suspendedUntilMs = Math.max(
+          entry.suspendedUntilMs,
+          nowMs + Math.min(leftMs, longestSuspensionMs),
+        );
+      }
       for (const [name, peer] of peers) {
         if (nowMs - peer.takenMs > maxReportAgeMs) peers.delete(name);
       }
@@ -271,6 +322,7 @@
       entry.failures = 0;
       entry.suspensions = 0;
       entry.suspendedUntilMs = -Infinity;
+      entry.downUntilMs = -Infinity;
     },
     onChange: (listener) => void listeners.push(listener),
   };
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -9,11 +9,13 @@
 export {
   CallEnd,
   createEndpointBoard,
+  type DownNotes,
   type EndpointBoard,
   type EndpointLoad,
   type LoadReports,
   type OpenCall,
   type ReadNotes,
+  type ReadWork,
 } from "./endpoint_board.ts";
 export {
   createEndpointList,
--- a/packages/core/src/process/fleet/peer_book.ts
+++ b/packages/core/src/process/fleet/peer_book.ts
@@ -1,7 +1,7 @@
 /** The other instances as this one hears them. */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
-import type { LoadReports, ReadNotes } from "./endpoint_board.ts";
+import type { DownNotes, LoadReports, ReadNotes } from "./endpoint_board.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
 
@@ -21,6 +21,7 @@
   readonly listNext: number;
   readonly loads: LoadReports;
   readonly reads: ReadNotes;
+  readonly down: DownNotes;
   readonly changing: readonly ChangingEngine[];
   /** Whether the instance is stopping. */
   readonly stopping: boolean;
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -21,6 +21,8 @@
   readonly service: ServiceName;
   readonly answer: CallerAnswer;
   readonly parts: ForwardParts;
+  /** Time for which engines keep an exported prompt, in ms; 0 on plain services. */
+  readonly exportTtlMs: number;
   /** End of the caller's wait or of the route's time-out, on the clock of `performance.now()`. */
   readonly endsMs: number;
   /** Aborts when the caller has left or the time is over. */
@@ -44,6 +46,8 @@
 
 const success = 200;
 const redirect = 300;
+/** Another process has the address, or the engine has another role. */
+const misdirected = 421;
 
 /** Time left, in ms. */
 export function getLeftMs(state: CallState): number {
@@ -119,6 +123,11 @@
   return error instanceof RemoteError && error.effect === Effect.None;
 }
 
+/** What an endpoint's refusal to run a call says of it. */
+export function classifyRefusal(status: number): CallEnd {
+  return status === misdirected ? CallEnd.Down : CallEnd.Full;
+}
+
 /** Notes a failed send in the log; tells what it says of the endpoint. */
 export function noteFailure(
   state: CallState,
@@ -137,5 +146,6 @@
   });
   const late = error instanceof RemoteError &&
     error.failure === RemoteFailure.Timeout;
-  return late ? CallEnd.Late : CallEnd.Failed;
+  if (late) return CallEnd.Late;
+  return isUnsent(error) ? CallEnd.Down : CallEnd.Failed;
 }
--- /dev/null
+++ b/packages/core/src/request/forwarding/export_prompt.ts
@@ -0,0 +1,123 @@
+/** Has a prompt computed at an engine that exports it. */
+import {
+  Effect,
+  RemoteError,
+  RemoteFailure,
+} from "../../types/index.ts";
+import { CallEnd } from "../../process/fleet/index.ts";
+import {
+  classifyRefusal,
+  getAgeMs,
+  getLeftMs,
+  noteFailure,
+  readBody,
+  sendCall,
+} from "./attempt.ts";
+import { forwardEvents } from "./events.ts";
+import type { Placement } from "./place_generation.ts";
+import { getRank, getWork, type StreamState } from "./stream_state.ts";
+
+const success = 200;
+/** Factor on an export's expected time after which it is tried elsewhere. */
+const lateExportFactor = 2;
+const lateExportMs = 800;
+/** Share of the time that an engine keeps an export, after which it is not used any more. */
+const usableTtlShare = 0.8;
+
+/** Whether the export succeeded; then `state.held` is set. An export does not run the call and may be repeated. */
+export async function exportPrompt(
+  state: StreamState,
+  placement: Placement,
+): Promise<boolean> {
+  const { parts, service } = state;
+  const { engine } = placement;
+  const ahead = parts.board.getLoad(engine.name).readTokens;
+  const open = parts.board.openCall(engine.name, {
+    tokens: placement.tokens,
+    parts: getWork(state).parts,
+    late: placement.late,
+  });
+  const late = new AbortController();
+  const timer = setTimeout(
+    () => late.abort(),
+    placement.readMs * lateExportFactor + lateExportMs,
+  );
+  const sentMs = performance.now();
+  let end = CallEnd.Answered;
+  try {
+    const answer = await sendCall(state, {
+      endpoint: engine,
+      leftMs: getLeftMs(state),
+      rank: getRank(state),
+      exportOnly: true,
+      copyFrom: placement.copyFrom,
+    }, { signal: AbortSignal.any([state.signal, late.signal]) });
+    const body = await readBody(answer);
+    const { status, notRun } = answer.head;
+    const prompt = status === success && !notRun
+      ? parts.sender.decodeExport(engine, body)
+      : undefined;
+    if (!prompt) {
+      end = classifyRefusal(status);
+      noteRefusal(state, engine.name, { status, step: "export" });
+      return false;
+    }
+    const nowMs = performance.now();
+    if (!placement.late) {
+      parts.speeds.noteRead(service, {
+        tokens: ahead + placement.tokens,
+        tookMs: nowMs - sentMs,
+      });
+    }
+    open.noteRead();
+    state.exportedMs = getAgeMs(state);
+    state.held = {
+      prompt,
+      engine,
+      endsMs: nowMs + state.exportTtlMs * usableTtlShare,
+    };
+    return true;
+  } catch (error) {
+    const failure = late.signal.aborted && !state.signal.aborted
+      ? new RemoteError("engine did not export in time", {
+        failure: RemoteFailure.Timeout,
+        effect: Effect.Unknown,
+        cause: error,
+      })
+      : error;
+    end = noteFailure(state, engine, { error: failure, step: "export" });
+    return false;
+  } finally {
+    clearTimeout(timer);
+    open.close(end);
+  }
+}
+
+/** Notes that an engine refused; it is not asked again for this call. */
+export function noteRefusal(
+  state: StreamState,
+  endpoint: string,
+  refusal: { readonly status: number; readonly step: string },
+): void {
+  state.excluded.add(endpoint);
+  state.parts.logEvent(forwardEvents.sendFailed, {
+    call: state.call.id,
+    step: refusal.step,
+    endpoint,
+    leftMs: Math.round(getLeftMs(state)),
+    unsent: true,
+    error: `engine refused with status ${refusal.status}`,
+  });
+}
+
+/** Frees an export that no engine will take. */
+export function releaseHeld(state: StreamState): void {
+  const { held } = state;
+  if (!held) return;
+  state.held = undefined;
+  state.parts.logEvent(forwardEvents.exportUnused, {
+    call: state.call.id,
+    endpoint: held.engine.name,
+  });
+  state.parts.sender.releaseExport(held.engine, held.prompt);
+}
--- a/packages/core/src/request/forwarding/index.ts
+++ b/packages/core/src/request/forwarding/index.ts
@@ -3,6 +3,7 @@
 export { createEventSplitter, type EventSplitter } from "./event_splitter.ts";
 export { forwardEvents } from "./events.ts";
 export {
+  pickGenerator,
   placeGeneration,
   type Placement,
   type PlacementOptions,
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -66,6 +66,7 @@
     service,
     answer,
     parts,
+    exportTtlMs: version.getService(service)?.engines?.exportTtlMs ?? 0,
     endsMs,
     signal: AbortSignal.any([answer.left, over.signal]),
     excluded: new Set(),
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -1,22 +1,13 @@
 /**
- * Forwards a stream from an engine: places it, has the prompt computed where
- * that is sooner, and passes events on as they arrive. A broken stream of a
+ * Forwards a stream: has the prompt computed where that is soonest, lets an
+ * engine generate, and passes events on as they arrive. A broken stream of a
  * route that resumes goes on at another engine after its last whole event.
  */
-import {
-  Effect,
-  type ExportedPrompt,
-  type GenerationWork,
-  Outcome,
-  RefusalReason,
-  RemoteError,
-  RemoteFailure,
-} from "../../types/index.ts";
-import { CallEnd, type OpenCall } from "../../process/fleet/index.ts";
+import { type ListedEndpoint, RefusalReason } from "../../types/index.ts";
 import {
   allowSend,
   type CallState,
-  closeAnswer,
+  classifyRefusal,
   getAgeMs,
   getLeftMs,
   isUnsent,
@@ -26,72 +17,67 @@
   sendCall,
 } from "./attempt.ts";
 import { buildLost, buildTimedOut, refuseUnrun } from "./ends.ts";
-import { createEventSplitter } from "./event_splitter.ts";
 import { forwardEvents } from "./events.ts";
-import { placeGeneration, type Placement } from "./place_generation.ts";
-import type { EndpointAnswer, ForwardEnd } from "./types.ts";
-
-/** An answer that runs, and what is known of its stream. */
-interface Run {
-  readonly answer: EndpointAnswer;
-  readonly placement: Placement;
-  readonly open: OpenCall;
-  readonly abort: AbortController;
-}
-
-/** How far the caller's answer is. */
-interface Progress {
-  lastId: string | undefined;
-  firstByteMs: number | undefined;
-  exportedMs: number | undefined;
-  headMs: number | undefined;
-}
+import { exportPrompt, noteRefusal, releaseHeld } from "./export_prompt.ts";
+import { pickGenerator, type Placement } from "./place_generation.ts";
+import { relayRun, type Run } from "./relay_stream.ts";
+import {
+  createStreamState,
+  getPlacementOptions,
+  getRank,
+  getWork,
+  placePrompt,
+  type StreamState,
+} from "./stream_state.ts";
+import type { ForwardEnd } from "./types.ts";
 
-const success = 200;
-const redirect = 300;
+const unavailable = 503;
 const noEngineRetryMs = 700;
 const fullRetryMs = 400;
-/** Factor on an export's expected time after which it is tried elsewhere. */
-const lateExportFactor = 2;
-const lateExportMs = 800;
-/** Silence after which a stream that resumes goes on elsewhere, in ms: several times the pauses of full engines. */
-const silentStreamMs = 1_500;
+/** Callers give up on a stream without events after two seconds, or four times the goal. */
+const patienceMs = 2_000;
+const patienceGoals = 4;
+/** Share of that patience which an expected first event may fill. */
+const usablePatience = 0.9;
+
+/** Where the next run begins. */
+interface Start {
+  readonly engine: ListedEndpoint;
+  /** Present where `engine` computes the prompt itself. */
+  readonly placement?: Placement;
+}
 
 /** Runs the stream to its end. */
-export async function runGeneration(state: CallState): Promise<ForwardEnd> {
-  const progress: Progress = {
-    lastId: state.call.resumeAfter,
-    firstByteMs: undefined,
-    exportedMs: undefined,
-    headMs: undefined,
-  };
+export async function runGeneration(call: CallState): Promise<ForwardEnd> {
+  const state = createStreamState(call);
+  try {
+    return await runAttempts(state);
+  } finally {
+    releaseHeld(state);
+  }
+}
+
+async function runAttempts(state: StreamState): Promise<ForwardEnd> {
   let lost: ForwardEnd | undefined;
   while (!state.signal.aborted) {
-    const placement = place(state);
-    if (!placement) break;
-    const run = await startRun(state, placement, progress);
-    if (run === undefined) break;
-    if (run instanceof Error) {
-      if (isUnsent(run)) continue;
-      state.runs += 1;
-      lost = buildLost(run.message, {
-        runs: state.runs,
-        endpoint: placement.engine.name,
-      });
-      if (!mayRunAgain(state)) break;
-      continue;
-    }
+    const start = await prepareRun(state);
+    if (start === "again") continue;
+    if (start === undefined) break;
+    if ("status" in start) return lost ?? start;
+    if (!allowSend(state)) break;
+    const run = await startRun(state, start);
+    if (run === undefined) continue;
     state.runs += 1;
-    const end = await relayRun(state, run, progress);
+    const end = run instanceof Error ? run : await relayRun(state, run);
     if (!(end instanceof Error)) return end;
     lost = buildLost(end.message, {
       runs: state.runs,
-      endpoint: placement.engine.name,
+      endpoint: start.engine.name,
     });
     if (!mayRunAgain(state)) break;
     state.parts.logEvent(forwardEvents.resumed, {
       call: state.call.id,
-      after: progress.lastId,
+      after: state.lastId,
       runs: state.runs,
     });
   }
@@ -99,7 +85,46 @@
   return lost ?? refuseUnplaced(state);
 }
 
-function refuseUnplaced(state: CallState): ForwardEnd {
+/** Has the prompt computed where it is to be exported, and chooses the engine that generates. */
+async function prepareRun(
+  state: StreamState,
+): Promise<Start | ForwardEnd | "again" | undefined> {
+  if (state.held && state.held.endsMs < performance.now()) releaseHeld(state);
+  if (!state.held) {
+    const placement = placePrompt(state);
+    if (!placement) return undefined;
+    const refusal = refuseHopeless(state, placement);
+    if (refusal) return refusal;
+    if (!placement.exports) return { engine: placement.engine, placement };
+    const { budget } = state.parts;
+    if (state.exportTried && !budget.allowRepeat(state.service)) {
+      return undefined;
+    }
+    state.exportTried = true;
+    if (!await exportPrompt(state, placement)) return "again";
+  }
+  if (!state.held) return "again";
+  const engine = pickGenerator(state.held.engine, getPlacementOptions(state));
+  return engine && { engine };
+}
+
+/** Refuses a call whose caller would have given up before its first event. */
+function refuseHopeless(
+  state: StreamState,
+  placement: Placement,
+): ForwardEnd | undefined {
+  const patience = Math.max(patienceMs, state.route.goalMs * patienceGoals);
+  const allowedMs = Math.min(patience * usablePatience, state.route.timeoutMs);
+  const expectedMs = getAgeMs(state) + placement.readMs;
+  if (expectedMs <= allowedMs || state.runs > 0) return undefined;
+  return refuseUnrun(
+    RefusalReason.Overloaded,
+    "engines are too busy to begin in time",
+    { retryAfterMs: Math.max(fullRetryMs, expectedMs - allowedMs) },
+  );
+}
+
+function refuseUnplaced(state: StreamState): ForwardEnd {
   const taking = state.parts.endpoints.listTaking(state.service).length;
   return taking === 0
     ? refuseUnrun(RefusalReason.NoEndpoint, "no engine takes work", {
@@ -110,276 +135,48 @@
     });
 }
 
-function place(state: CallState): Placement | undefined {
-  const { parts, service } = state;
-  const placement = placeGeneration(getWork(state), {
-    service,
-    engines: parts.endpoints.listTaking(service)
-      .filter(({ name }) => !parts.isChanging(name)),
-    exclude: state.excluded,
-    board: parts.board,
-    speeds: parts.speeds,
-    ownDomain: parts.ownDomain,
-  });
-  parts.logEvent(forwardEvents.placed, {
-    call: state.call.id,
-    endpoint: placement?.engine.name,
-    exporter: placement?.exporter?.name,
-    copyFrom: placement?.copyFrom?.name,
-    readMs: placement && Math.round(placement.readMs),
-    tokens: placement && placement.readTokens + placement.exportTokens,
-    promptTokens: state.call.work?.promptTokens,
-    part: state.call.work?.parts.at(-2)?.id,
-    leftMs: Math.round(getLeftMs(state)),
-  });
-  return placement;
-}
-
-function getWork(state: CallState): GenerationWork {
-  return state.call.work ??
-    { model: "", promptTokens: 1, outputTokens: 1, parts: [] };
-}
-
-/** Computes the prompt where planned and starts the generation; undefined where the budget is spent. */
+/**
+ * Starts the generation; undefined where the engine certainly did not run the
+ * call. A prompt that was exported stays for the next engine unless the engine
+ * may have taken it.
+ */
 async function startRun(
-  state: CallState,
-  placement: Placement,
-  progress: Progress,
+  state: StreamState,
+  { engine, placement }: Start,
 ): Promise<Run | Error | undefined> {
-  let exported: ExportedPrompt | undefined;
-  if (placement.exporter) {
-    const result = await exportPrompt(state, placement);
-    if (result instanceof Error || result === undefined) return result;
-    exported = result;
-    progress.exportedMs = getAgeMs(state);
-  }
-  if (!allowSend(state)) {
-    releaseExport(state, placement, exported);
-    return undefined;
-  }
-  return await sendRun(state, { placement, exported }, progress);
-}
-
-async function sendRun(
-  state: CallState,
-  plan: { readonly placement: Placement; readonly exported?: ExportedPrompt },
-  progress: Progress,
-): Promise<Run | Error> {
-  const { parts, route } = state;
-  const { placement, exported } = plan;
-  const { engine } = placement;
+  const { parts, held } = state;
   const open = parts.board.openCall(engine.name, {
-    readTokens: placement.readTokens,
+    tokens: placement?.tokens ?? 0,
     parts: getWork(state).parts,
+    late: state.late,
   });
   const abort = new AbortController();
-  const signal = AbortSignal.any([state.signal, abort.signal]);
   try {
     const answer = await sendCall(state, {
       endpoint: engine,
       leftMs: getLeftMs(state),
-      rank: route.rank,
-      exported,
-      copyFrom: exported ? undefined : placement.copyFrom,
-      resumeAfter: progress.lastId,
-    }, { signal });
+      rank: getRank(state),
+      exported: held?.prompt,
+      copyFrom: placement?.copyFrom,
+      resumeAfter: state.lastId,
+    }, { signal: AbortSignal.any([state.signal, abort.signal]) });
     const { status, notRun } = answer.head;
-    progress.headMs = getAgeMs(state);
-    if (!notRun) return { answer, placement, open, abort };
-    await readBody(answer).catch(() => undefined);
-    state.excluded.add(engine.name);
-    open.close(CallEnd.Full);
-    parts.logEvent(forwardEvents.sendFailed, {
-      call: state.call.id,
-      step: "generate",
-      endpoint: engine.name,
-      unsent: true,
-      error: `engine refused with status ${status}`,
-    });
-    releaseExport(state, placement, exported);
-    return buildUnrun(`engine refused with status ${status}`);
-  } catch (error) {
-    releaseExport(state, placement, exported);
-    open.close(noteFailure(state, engine, { error, step: "generate" }));
-    return error instanceof Error ? error : new Error(String(error));
-  }
-}
-
-/** Has the prompt computed; an export does not run the call and may be repeated. */
-async function exportPrompt(
-  state: CallState,
-  placement: Placement,
-): Promise<ExportedPrompt | Error | undefined> {
-  const { parts, route, service } = state;
-  const { exporter, exportTokens } = placement;
-  if (!exporter) return undefined;
-  if (state.excluded.size > 0 && !parts.budget.allowRepeat(service)) {
-    return undefined;
-  }
-  const ahead = parts.board.getLoad(exporter.name).readTokens;
-  const open = parts.board.openCall(exporter.name, {
-    readTokens: exportTokens,
-    parts: getWork(state).parts,
-  });
-  const late = new AbortController();
-  const timer = setTimeout(
-    () => late.abort(),
-    placement.readMs * lateExportFactor + lateExportMs,
-  );
-  const sentMs = performance.now();
-  let end = CallEnd.Answered;
-  try {
-    const answer = await sendCall(state, {
-      endpoint: exporter,
-      leftMs: getLeftMs(state),
-      rank: route.rank,
-      exportOnly: true,
-      copyFrom: placement.copyFrom,
-    }, { signal: AbortSignal.any([state.signal, late.signal]) });
-    const body = await readBody(answer);
-    const exported = answer.head.status === success && !answer.head.notRun
-      ? parts.sender.decodeExport(exporter, body)
-      : undefined;
-    if (exported) {
-      open.noteRead();
-      parts.speeds.noteRead(service, {
-        tokens: ahead + exportTokens,
-        tookMs: performance.now() - sentMs,
-      });
-      return exported;
+    state.headMs = getAgeMs(state);
+    if (!notRun) {
+      state.held = undefined;
+      return { answer, engine, open, abort };
     }
-    state.excluded.add(exporter.name);
-    end = CallEnd.Full;
-    const message = `engine refused an export with status ${answer.head.status}`;
-    parts.logEvent(forwardEvents.sendFailed, {
-      call: state.call.id,
-      step: "export",
-      endpoint: exporter.name,
-      unsent: true,
-      error: message,
-    });
-    return buildUnrun(message);
-  } catch (error) {
-    end = noteFailure(state, exporter, { error, step: "export" });
-    return buildUnrun(error instanceof Error ? error.message : String(error));
-  } finally {
-    clearTimeout(timer);
-    open.close(end);
-  }
-}
-
-function buildUnrun(message: string): RemoteError {
-  return new RemoteError(message, {
-    failure: RemoteFailure.Refused,
-    effect: Effect.None,
-  });
-}
-
-function releaseExport(
-  state: CallState,
-  placement: Placement,
-  exported: ExportedPrompt | undefined,
-): void {
-  if (!exported || !placement.exporter) return;
-  state.parts.logEvent(forwardEvents.exportUnused, {
-    call: state.call.id,
-    endpoint: placement.exporter.name,
-  });
-  state.parts.sender.releaseExport(placement.exporter, exported);
-}
-
-/** Passes a run's answer on; returns the error of a stream that broke. */
-async function relayRun(
-  state: CallState,
-  run: Run,
-  progress: Progress,
-): Promise<ForwardEnd | Error> {
-  const { answer, open, placement } = run;
-  const succeeded = answer.head.status >= success &&
-    answer.head.status < redirect;
-  if (!succeeded || !answer.head.genuine) {
-    return await relayFailure(state, run);
-  }
-  let end = CallEnd.Answered;
-  try {
-    await relayEvents(state, run, progress);
-    state.answer.end();
-    return {
-      outcome: Outcome.Done,
-      status: answer.head.status,
-      endpoint: placement.engine.name,
-      runs: state.runs,
-      ...progress,
-    };
-  } catch (error) {
-    end = noteFailure(state, placement.engine, { error, step: "stream" });
-    await closeAnswer(answer);
-    return error instanceof Error ? error : new Error(String(error));
-  } finally {
+    await readBody(answer).catch(() => undefined);
+    const end = classifyRefusal(status);
     open.close(end);
-  }
-}
-
-async function relayEvents(
-  state: CallState,
-  run: Run,
-  progress: Progress,
-): Promise<void> {
-  const { answer, open } = run;
-  const splitter = state.route.resumable ? createEventSplitter() : undefined;
-  const silence = setTimeout(
-    () => run.abort.abort(),
-    silentStreamMs + run.placement.readMs,
-  );
-  try {
-    for await (const chunk of answer.body) {
-      open.noteRead();
-      const split = splitter ? splitter.add(chunk) : { bytes: chunk };
-      if (splitter) silence.refresh();
-      else clearTimeout(silence);
-      if (!split) continue;
-      progress.lastId = split.lastId ?? progress.lastId;
-      if (!state.answer.isStarted()) {
-        state.answer.start(answer.head.status, answer.head.headers);
-        progress.firstByteMs = getAgeMs(state);
-      }
-      await state.answer.write(split.bytes);
-    }
-    const rest = splitter?.takeRest();
-    if (rest && rest.length > 0) await state.answer.write(rest);
-    if (!state.answer.isStarted()) {
-      state.answer.start(answer.head.status, answer.head.headers);
-    }
-  } finally {
-    clearTimeout(silence);
-  }
-}
-
-/** Passes an engine's own failure on, unless the call may go on elsewhere. */
-async function relayFailure(
-  state: CallState,
-  run: Run,
-): Promise<ForwardEnd | Error> {
-  const { answer, open, placement } = run;
-  try {
-    const body = await readBody(answer);
-    open.close(CallEnd.Failed);
-    const { status, genuine, headers } = answer.head;
-    if (mayRunAgain(state) || state.answer.isStarted() || !genuine) {
-      state.excluded.add(placement.engine.name);
-      return new Error(`engine answered with status ${status}`);
-    }
-    state.answer.start(status, headers, { length: body.length });
-    await state.answer.write(body);
-    state.answer.end();
-    return {
-      outcome: Outcome.Done,
-      status,
-      endpoint: placement.engine.name,
-      runs: state.runs,
-    };
+    noteRefusal(state, engine.name, { status, step: "generate" });
+    // A refusal for room may also mean that the memory could not be had.
+    if (status === unavailable) releaseHeld(state);
+    return undefined;
   } catch (error) {
-    open.close(noteFailure(state, placement.engine, { error, step: "stream" }));
+    open.close(noteFailure(state, engine, { error, step: "generate" }));
+    if (isUnsent(error)) return undefined;
+    state.held = undefined;
     return error instanceof Error ? error : new Error(String(error));
   }
 }
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -11,6 +11,7 @@
 import { CallEnd } from "../../process/fleet/index.ts";
 import {
   allowSend,
+  classifyRefusal,
   type CallState,
   getAgeMs,
   getLeftMs,
@@ -109,7 +110,7 @@
     }, { signal, maxIdleMs: repeatable ? undefined : maxIdleMs });
     const body = await readBody(answer);
     if (answer.head.notRun) {
-      end = CallEnd.Full;
+      end = classifyRefusal(answer.head.status);
       state.excluded.add(endpoint.name);
     } else if (isServerError({ answer })) {
       end = CallEnd.Failed;
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -230,6 +230,7 @@
     listNext: fleet.getListNext(),
     loads: fleet.board.getReports(),
     reads: fleet.board.listReads(),
+    down: fleet.board.listDown(),
     changing: roles.listOrdered(),
     stopping: life.stopping,
   });
