--- a/packages/core/src/process/fleet/duty.ts
+++ b/packages/core/src/process/fleet/duty.ts
@@ -50,7 +50,9 @@
   const log = options.logEvent ?? logEvent;
   let next = 0;
   let started = false;
-  let newest: { readonly holder: InstanceName; readonly readMs: number } | undefined;
+  let newest:
+    | { readonly holder: InstanceName; readonly readMs: number }
+    | undefined;
 
   async function readClaims(): Promise<void> {
     const page = started
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -86,10 +86,10 @@
       log(fleetEvents.endpointHeldOver, describe(known.endpoint, next));
       return;
     }
-    dropEndpoint(known.endpoint);
+    removeGone(known.endpoint);
   }
 
-  function dropEndpoint(endpoint: ListedEndpoint): void {
+  function removeGone(endpoint: ListedEndpoint): void {
     entries.delete(endpoint.name);
     log(fleetEvents.endpointGone, describe(endpoint, next));
     options.onReplaced?.(endpoint);
@@ -98,7 +98,7 @@
   function removeLapsed(): void {
     const nowMs = performance.now();
     for (const { endpoint, goneAtMs } of [...entries.values()]) {
-      if (goneAtMs !== undefined && goneAtMs <= nowMs) dropEndpoint(endpoint);
+      if (goneAtMs !== undefined && goneAtMs <= nowMs) removeGone(endpoint);
     }
   }
 
@@ -108,7 +108,7 @@
   }
 
   return {
-    get(name) {
+    get(name): ListedEndpoint | undefined {
       removeLapsed();
       return entries.get(name)?.endpoint;
     },
@@ -136,7 +136,7 @@
       next = snapshot.next;
       const listed = new Set(snapshot.endpoints.map(({ name }) => name));
       for (const { endpoint } of [...entries.values()]) {
-        if (!listed.has(endpoint.name)) dropEndpoint(endpoint);
+        if (!listed.has(endpoint.name)) removeGone(endpoint);
       }
       for (const endpoint of snapshot.endpoints) setEndpoint(endpoint);
       return true;
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -125,16 +125,16 @@
     while (!signal.aborted) {
       try {
         await readPage();
-        await waitFor(spread(options.spacingMs), signal);
+        await waitFor(drawPause(options.spacingMs), signal);
       } catch (error) {
         noteFailure(error);
         const backoffMs = Math.min(leastRetryMs * 2 ** failures, mostRetryMs);
-        await waitFor(spread(backoffMs), signal);
+        await waitFor(drawPause(backoffMs), signal);
       }
     }
   }
 
-  function spread(ms: number): number {
+  function drawPause(ms: number): number {
     return ms * (1 + spreadShare * (random() - 0.5));
   }
 
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -43,5 +43,9 @@
   type PeerBook,
   type PeerDigest,
 } from "./peer_book.ts";
-export { planRoles, type PlannedRole, type RolePlanInput } from "./plan_roles.ts";
+export {
+  type PlannedRole,
+  planRoles,
+  type RolePlanInput,
+} from "./plan_roles.ts";
 export { createReadSpeeds, type ReadSpeeds } from "./read_speeds.ts";
--- a/packages/core/src/process/fleet/keep_roles.ts
+++ b/packages/core/src/process/fleet/keep_roles.ts
@@ -15,7 +15,7 @@
 import type { EndpointBoard } from "./endpoint_board.ts";
 import type { EndpointList } from "./endpoint_list.ts";
 import { fleetEvents } from "./events.ts";
-import { planRoles, type PlannedRole } from "./plan_roles.ts";
+import { type PlannedRole, planRoles } from "./plan_roles.ts";
 
 /** Calls to engines that role changes need. */
 export interface EngineControl {
--- a/packages/core/src/process/fleet/peer_book.ts
+++ b/packages/core/src/process/fleet/peer_book.ts
@@ -31,7 +31,7 @@
 export interface PeerBook {
   readonly register: (entry: PeerAddress) => void;
   /** Takes a digest that arrived. */
-  readonly hear: (digest: PeerDigest) => void;
+  readonly takeDigest: (digest: PeerDigest) => void;
   /** All that are registered, this one left out. */
   readonly listRegistered: () => readonly PeerAddress[];
   /** Newest digests of instances that are heard now. */
@@ -95,7 +95,7 @@
         registeredMs: performance.now(),
       });
     },
-    hear(digest): void {
+    takeDigest(digest): void {
       if (digest.name === options.instance) return;
       const known = peers.get(digest.name);
       if (!known?.digest) {
--- a/packages/core/src/request/forwarding/choose_endpoint.ts
+++ b/packages/core/src/request/forwarding/choose_endpoint.ts
@@ -12,7 +12,9 @@
     .filter(({ name }) => !state.excluded.has(name));
   const healthy = allowed.filter(({ name }) => !board.isSuspended(name));
   const candidates = healthy.length > 0 ? healthy : allowed;
-  let best: { readonly endpoint: ListedEndpoint; readonly cost: number } | undefined;
+  let best:
+    | { readonly endpoint: ListedEndpoint; readonly cost: number }
+    | undefined;
   for (const endpoint of candidates) {
     const distance = endpoint.failureDomain === ownDomain
       ? 0
--- a/packages/core/src/request/forwarding/export_prompt.ts
+++ b/packages/core/src/request/forwarding/export_prompt.ts
@@ -1,9 +1,5 @@
 /** Has a prompt computed at an engine that exports it. */
-import {
-  Effect,
-  RemoteError,
-  RemoteFailure,
-} from "../../types/index.ts";
+import { Effect, RemoteError, RemoteFailure } from "../../types/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
 import {
   classifyRefusal,
@@ -59,7 +55,7 @@
       : undefined;
     if (!prompt) {
       end = classifyRefusal(status);
-      noteRefusal(state, engine.name, { status, step: "export" });
+      noteRefusal(state, { endpoint: engine.name, status, step: "export" });
       return false;
     }
     const nowMs = performance.now();
@@ -96,9 +92,13 @@
 /** Notes that an engine refused; it is not asked again for this call. */
 export function noteRefusal(
   state: StreamState,
-  endpoint: string,
-  refusal: { readonly status: number; readonly step: string },
+  refusal: {
+    readonly endpoint: string;
+    readonly status: number;
+    readonly step: string;
+  },
 ): void {
+  const { endpoint } = refusal;
   state.excluded.add(endpoint);
   state.parts.logEvent(forwardEvents.sendFailed, {
     call: state.call.id,
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -9,10 +9,7 @@
   type ListedEndpoint,
   type ServiceName,
 } from "../../types/index.ts";
-import type {
-  EndpointBoard,
-  ReadSpeeds,
-} from "../../process/fleet/index.ts";
+import type { EndpointBoard, ReadSpeeds } from "../../process/fleet/index.ts";
 import {
   estimateBacklogMs,
   estimateDistanceMs,
@@ -49,7 +46,7 @@
 /** Time of an export besides computing, in ms: links, setup and the move of the memory. */
 const exportOverheadMs = 40;
 /** Time by which a prompt computed between others' tokens delays these, for each of its ms. */
-const interferenceShare = 1;
+const interferenceShare = 6;
 /** Share of an engine's slots above which new generations wait. */
 const fullShare = 0.95;
 const fullWaitMs = 500;
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -127,14 +127,14 @@
     endpoint: end.endpoint,
     runs: end.runs,
     left: answer.left.aborted,
-    exportedMs: roundMs(end.exportedMs),
-    headMs: roundMs(end.headMs),
-    firstByteMs: roundMs(end.firstByteMs),
+    exportedMs: formatMs(end.exportedMs),
+    headMs: formatMs(end.headMs),
+    firstByteMs: formatMs(end.firstByteMs),
     tookMs: Math.round(performance.now() - call.receivedMs),
   });
 }
 
-function roundMs(ms: number | undefined): number | undefined {
+function formatMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
 
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -38,7 +38,7 @@
 const patienceMs = 2_000;
 const patienceGoals = 4;
 /** Share of that patience which an expected first event may fill. */
-const usablePatience = 0.9;
+const usablePatience = 0.6;
 
 /** Where the next run begins. */
 interface Start {
@@ -169,7 +169,7 @@
     await readBody(answer).catch(() => undefined);
     const end = classifyRefusal(status);
     open.close(end);
-    noteRefusal(state, engine.name, { status, step: "generate" });
+    noteRefusal(state, { endpoint: engine.name, status, step: "generate" });
     // A refusal for room may also mean that the memory could not be had.
     if (status === unavailable) releaseHeld(state);
     return undefined;
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -1,18 +1,18 @@
 /** Forwards a call to a plain service and answers with the endpoint's whole answer. */
 import {
   CallKind,
+  Effect,
   type ListedEndpoint,
   Outcome,
   RefusalReason,
   RemoteError,
   RemoteFailure,
-  Effect,
 } from "../../types/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
 import {
   allowSend,
-  classifyRefusal,
   type CallState,
+  classifyRefusal,
   getAgeMs,
   getLeftMs,
   isUnsent,
@@ -50,7 +50,7 @@
     const endpoint = chooseEndpoint(state);
     if (!endpoint) break;
     if (!allowSend(state)) break;
-    const attempt = await tryEndpoint(state, endpoint);
+    const attempt = await callEndpoint(state, endpoint);
     if (attempt instanceof Error) {
       if (isUnsent(attempt)) continue;
       state.runs += 1;
@@ -67,7 +67,9 @@
     if (!isServerError(attempt) || !mayRunAgain(state)) break;
     state.excluded.add(endpoint.name);
   }
-  if (fallback && !state.answer.left.aborted) return deliver(state, fallback);
+  if (fallback && !state.answer.left.aborted) {
+    return answerWhole(state, fallback);
+  }
   if (state.signal.aborted) return buildTimedOut({ runs: state.runs });
   return lost ?? refuseFull(state);
 }
@@ -83,7 +85,7 @@
     });
 }
 
-async function tryEndpoint(
+async function callEndpoint(
   state: CallState,
   endpoint: ListedEndpoint,
 ): Promise<WholeAnswer | Error> {
@@ -138,7 +140,7 @@
   return answer.head.status >= firstServerError;
 }
 
-function deliver(state: CallState, whole: WholeAnswer): ForwardEnd {
+function answerWhole(state: CallState, whole: WholeAnswer): ForwardEnd {
   const { head } = whole.answer;
   state.answer.start(head.status, head.headers, { length: whole.body.length });
   const firstByteMs = getAgeMs(state);
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -7,8 +7,8 @@
 import { type CallState, getAgeMs, getLeftMs } from "./attempt.ts";
 import { forwardEvents } from "./events.ts";
 import {
-  type Placement,
   placeGeneration,
+  type Placement,
   type PlacementOptions,
 } from "./place_generation.ts";
 
--- a/packages/core/src/request/retries/shared_budget.ts
+++ b/packages/core/src/request/retries/shared_budget.ts
@@ -62,8 +62,7 @@
   }
 
   return {
-    noteCall: (service) =>
-      void getUsage(service).calls.push(performance.now()),
+    noteCall: (service) => void getUsage(service).calls.push(performance.now()),
     allowRepeat,
     noteRepeat: (service) =>
       void getUsage(service).repeats.push(performance.now()),
--- a/packages/core/src/version/routes/route_index.ts
+++ b/packages/core/src/version/routes/route_index.ts
@@ -46,7 +46,7 @@
     version: configuration.version,
     limits: configuration.limits,
     configuration,
-    findRoute(host, path) {
+    findRoute(host, path): ForwardRoute | undefined {
       const name = removePort(host).toLowerCase();
       return byHost.get(name)?.find((route) =>
         path.startsWith(route.pathPrefix)
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -115,7 +115,7 @@
     return openChannel(address);
   }
 
-  function returnChannel(channel: Channel): void {
+  function releaseChannel(channel: Channel): void {
     const usable = channel.socket && !channel.socket.destroyed && !closed;
     if (!usable) return closeChannel(channel);
     channel.idleSinceMs = performance.now();
@@ -131,7 +131,7 @@
   return {
     exchange: (address, request) =>
       runExchange(takeChannel(address, request.maxIdleMs), request, {
-        onFree: returnChannel,
+        onFree: releaseChannel,
       }),
     forget(address): void {
       const known = idle.get(address) ?? [];
@@ -192,17 +192,17 @@
     let headed = false;
     let ended = false;
     const { signal } = request;
-    const abort = (): void => fail(createAbortError(signal, sent));
+    const abort = (): void => breakOff(createAbortError(signal, sent));
 
-    function finish(): boolean {
+    function setEnded(): boolean {
       if (ended) return false;
       ended = true;
       signal?.removeEventListener("abort", abort);
       return true;
     }
 
-    function fail(error: RemoteError): void {
-      if (!finish()) return;
+    function breakOff(error: RemoteError): void {
+      if (!setEnded()) return;
       closeChannel(channel);
       if (headed) body.fail(error);
       else reject(error);
@@ -221,7 +221,7 @@
 
     if (signal?.aborted) return abort();
     signal?.addEventListener("abort", abort, { once: true });
-    body.onGivenUp = () => fail(convert(new Error("answer was given up")));
+    body.onGivenUp = () => breakOff(convert(new Error("answer was given up")));
     channel.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
@@ -250,14 +250,14 @@
       onResponseEnd(): void {
         // Data of an answer without length may end by a reset.
         if (channel.broken || !headed) {
-          return fail(convert(new Error("answer was cut off by a reset")));
+          return breakOff(convert(new Error("answer was cut off by a reset")));
         }
-        if (!finish()) return;
+        if (!setEnded()) return;
         body.end();
         // The client looks at the next bytes of the connection first.
         setImmediate(() => options.onFree(channel));
       },
-      onResponseError: (_started, error) => fail(convert(error)),
+      onResponseError: (_started, error) => breakOff(convert(error)),
     });
     void controller;
   });
@@ -303,7 +303,7 @@
     wake = undefined;
   }
 
-  async function next(): Promise<IteratorResult<Buffer, undefined>> {
+  async function readNext(): Promise<IteratorResult<Buffer, undefined>> {
     while (true) {
       const chunk = chunks.shift();
       if (chunk) {
@@ -318,8 +318,8 @@
   }
 
   const iterator: AsyncIterator<Buffer, undefined> = {
-    next,
-    return(): Promise<IteratorResult<Buffer, undefined>> {
+    next: readNext,
+    return: () => {
       if (!done && !error) body.onGivenUp();
       return Promise.resolve({ done: true, value: undefined });
     },
@@ -332,11 +332,11 @@
       if (waitingBytes > maxWaitingBytes) body.controller?.pause();
       tell();
     },
-    end(): void {
+    end: () => {
       done = true;
       tell();
     },
-    fail(failure): void {
+    fail: (failure) => {
       error = failure;
       tell();
     },
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -1,7 +1,8 @@
 /** Sends calls to endpoints over kept connections, in the platform's format. */
-import {
-  type EndpointSender,
-  type LogEvent,
+import type {
+  EndpointAnswer,
+  EndpointSender,
+  LogEvent,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
 import { entryEvents } from "./events.ts";
@@ -16,7 +17,11 @@
 ): EndpointSender {
   const { channels, logEvent } = options;
   return {
-    async send(call, facts, { signal, maxIdleMs }) {
+    async send(
+      call,
+      facts,
+      { signal, maxIdleMs },
+    ): Promise<EndpointAnswer> {
       const request = codec.encodeSend(call, facts);
       const answer = await channels.exchange(facts.endpoint.address, {
         ...request,
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -175,7 +175,7 @@
     getListNext: () => endpoints.getSnapshot().next,
     getListAgeMs: () => list.getAgeMs(),
     takeDigest(digest, fetchState): void {
-      peers.hear(digest);
+      peers.takeDigest(digest);
       board.takeReports(digest.name, digest);
       if (!fetching && isBehind(digest)) void takeState(digest, fetchState);
     },
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -7,7 +7,11 @@
 /** Metrics of one process. */
 export interface EntryMetrics {
   readonly noteCall: (
-    call: { readonly route: string; readonly end: ForwardEnd; readonly tookMs: number },
+    call: {
+      readonly route: string;
+      readonly end: ForwardEnd;
+      readonly tookMs: number;
+    },
   ) => void;
   readonly noteStoreCall: (call: string) => void;
   readonly noteEvent: (event: number) => void;
@@ -122,7 +126,7 @@
       name: `trefoildoor_${name}`,
       help,
       registers,
-      collect(): void {
+      collect: function setValue(): void {
         this.set(readGauges()[key as keyof EntryGauges]);
       },
     });
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -85,14 +85,14 @@
     );
   }
 
-  async function beat(): Promise<void> {
+  async function sendHeartbeats(): Promise<void> {
     while (!options.signal.aborted) {
       sendDigest();
       await waitFor(heartbeatMs, options.signal);
     }
   }
 
-  void beat();
+  void sendHeartbeats();
   return {
     tellSoon(): void {
       planned ??= setTimeout(() => {
--- a/packages/node/src/entry/platform.ts
+++ b/packages/node/src/entry/platform.ts
@@ -28,7 +28,11 @@
 
 /** Called with a record that cannot be decoded. */
 export type OnUnusable = (
-  record: { readonly topic: string; readonly key: string; readonly why: string },
+  record: {
+    readonly topic: string;
+    readonly key: string;
+    readonly why: string;
+  },
 ) => void;
 
 /** Translates calls between the wire and the library's types. */
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -86,7 +86,7 @@
   fleet.board.onChange(link.tellSoon);
   life.front = await openFrontServer({
     address: settings.callers,
-    answer: (request, answer) => answerCall(running, request, answer),
+    answer: (request, answer) => answerCall(running, { request, answer }),
     onFailure: (error) =>
       options.logEvent(entryEvents.handlerFailed, { error: String(error) }),
   });
@@ -146,7 +146,14 @@
     isStopping: () => life.stopping,
     signal: ending.signal,
   });
-  const parts = buildParts({ settings, platform, channels, fleet, roles, logEvent });
+  const parts = buildParts({
+    settings,
+    platform,
+    channels,
+    fleet,
+    roles,
+    logEvent,
+  });
   return {
     settings,
     options,
@@ -192,8 +199,10 @@
 
 async function answerCall(
   running: Running,
-  request: FrontRequest,
-  answer: CallerAnswer,
+  { request, answer }: {
+    readonly request: FrontRequest;
+    readonly answer: CallerAnswer;
+  },
 ): Promise<void> {
   const version = running.fleet.getVersion();
   if (!version) {
--- a/tools/check_source.ts
+++ b/tools/check_source.ts
@@ -18,7 +18,7 @@
 const maxPositionalParameters = 2;
 const snakeCase =
   /^[a-z0-9]+(_[a-z0-9]+)*(\.(steps|test|feature|d))?\.(ts|feature)$/;
-const sourceRoots = ["packages", "tools"];
+const sourceRoots = ["packages", "platform", "tools"];
 
 function main(): void {
   const verbs = readVerbs("docs/VERBS.md");
