--- a/packages/core/src/process/fleet/endpoint_list.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_list.steps.ts
@@ -47,7 +47,7 @@
   world.list.apply({ records: numbered, next: world.offset, ...options });
 }
 
-function showEndpoints(
+function applyEndpoints(
   world: ListWorld,
   text: string,
   options: { readonly whole: boolean },
@@ -71,21 +71,21 @@
       onReplaced: ({ name }) => this.ended.push(name),
       logEvent: () => undefined,
     });
-    showEndpoints(this, names, { whole: true });
+    applyEndpoints(this, names, { whole: true });
   },
 );
 
 When(
   "the store shows {string}",
   function (this: ListWorld, text: string): void {
-    showEndpoints(this, text, { whole: false });
+    applyEndpoints(this, text, { whole: false });
   },
 );
 
 When(
   "the store is read anew and shows {string}",
   function (this: ListWorld, text: string): void {
-    showEndpoints(this, text, { whole: true });
+    applyEndpoints(this, text, { whole: true });
   },
 );
 
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -160,7 +160,7 @@
       next = offset;
       whole = false;
     },
-    interrupt(): void {
+    interrupt: () => {
       interrupted = true;
       reading.abort();
     },
--- a/packages/core/src/process/fleet/keep_roles.steps.ts
+++ b/packages/core/src/process/fleet/keep_roles.steps.ts
@@ -56,7 +56,7 @@
   };
 }
 
-function showEngines(world: RolesWorld): void {
+function applyEngines(world: RolesWorld): void {
   world.listed.apply({
     records: world.engines.map((value, offset) => ({
       key: value.name,
@@ -98,7 +98,7 @@
       getSteadyMs: () => Infinity,
       logEvent: () => undefined,
     });
-    showEngines(this);
+    applyEngines(this);
     let fence = 0;
     this.keeper = keepRoles({
       instance: "a",
@@ -179,7 +179,7 @@
     );
     return order ? { ...engine, role: order.role } : engine;
   });
-  showEngines(this);
+  applyEngines(this);
 });
 
 Then(
--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -81,7 +81,7 @@
         const send = { endpoint: name, facts, behaviour, aborted: false };
         sends.push(send);
         signal.addEventListener("abort", () => send.aborted = true);
-        return answerSend(call, send, signal);
+        return answerSend(call, { send, signal });
       },
       decodeExport: ({ address }, body) =>
         body.toString() === "exported"
@@ -94,8 +94,7 @@
 
 async function answerSend(
   call: ForwardCall,
-  send: FakeSend,
-  signal: AbortSignal,
+  { send, signal }: { readonly send: FakeSend; readonly signal: AbortSignal },
 ): Promise<EndpointAnswer> {
   const { behaviour } = send;
   await Promise.resolve();
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -51,7 +51,7 @@
   return text.split(", ").filter((name) => name !== "");
 }
 
-function showEndpoints(world: ForwardWorld, names: readonly string[]): void {
+function applyEndpoints(world: ForwardWorld, names: readonly string[]): void {
   world.endpoints.apply({
     records: names.map((name, offset) => ({
       key: name,
@@ -74,7 +74,7 @@
     getSteadyMs: () => Infinity,
     logEvent: () => undefined,
   });
-  showEndpoints(world, options.names);
+  applyEndpoints(world, options.names);
   const kinds: Readonly<Record<string, CallKind>> = {
     idempotent: CallKind.Idempotent,
     "at_most_once": CallKind.AtMostOnce,
@@ -155,7 +155,7 @@
 }
 
 /** Makes all endpoints of the same role but one look busy, so that the call goes there first. */
-function preferEndpoint(world: ForwardWorld, name: string): void {
+function useFirst(world: ForwardWorld, name: string): void {
   for (const other of world.endpoints.listAll()) {
     if (other.name === name || other.name[0] !== name[0]) continue;
     for (let each = 0; each < 3; each++) world.board.openCall(other.name);
@@ -163,7 +163,7 @@
   }
 }
 
-async function finishCall(world: ForwardWorld): Promise<void> {
+async function waitForEnd(world: ForwardWorld): Promise<void> {
   for (let each = 0; each < 100 && !world.end; each++) {
     await world.forwardClock?.tickAsync(100);
   }
@@ -236,13 +236,13 @@
 
 When("a call is forwarded", async function (this: ForwardWorld): Promise<void> {
   startCall(this, buildCall());
-  await finishCall(this);
+  await waitForEnd(this);
 });
 
 When(
   "a call is forwarded that reaches {string} first",
   async function (this: ForwardWorld, name: string): Promise<void> {
-    preferEndpoint(this, name);
+    useFirst(this, name);
     startCall(this, buildCall());
     if (this.fake.scripts.get(name)?.[0] === "silent") {
       await this.forwardClock?.tickAsync(0);
@@ -256,12 +256,12 @@
   this: ForwardWorld,
 ): Promise<void> {
   startCall(this, buildCall({ target: "/other/" }));
-  await finishCall(this);
+  await waitForEnd(this);
 });
 
 When("its caller leaves", async function (this: ForwardWorld): Promise<void> {
   this.caller.leave();
-  await finishCall(this);
+  await waitForEnd(this);
 });
 
 function startStream(world: ForwardWorld, promptTokens: number): void {
@@ -277,7 +277,7 @@
   "a stream with {int} prompt tokens is forwarded",
   async function (this: ForwardWorld, tokens: number): Promise<void> {
     startStream(this, tokens);
-    await finishCall(this);
+    await waitForEnd(this);
   },
 );
 
@@ -288,9 +288,9 @@
     tokens: number,
     name: string,
   ): Promise<void> {
-    preferEndpoint(this, name);
+    useFirst(this, name);
     startStream(this, tokens);
-    await finishCall(this);
+    await waitForEnd(this);
   },
 );
 
@@ -298,7 +298,7 @@
   this: ForwardWorld,
   status: number,
 ): Promise<void> {
-  await finishCall(this);
+  await waitForEnd(this);
   assert.equal(this.caller.status, status);
   assert.ok(this.caller.ended);
 });
@@ -307,7 +307,7 @@
   this: ForwardWorld,
   names: string,
 ): Promise<void> {
-  await finishCall(this);
+  await waitForEnd(this);
   assert.equal(listReached(this), names);
 });
 
@@ -415,7 +415,7 @@
       world.fake.scripts.set(`e${index + 1}`, [behaviour])
     );
     startCall(world, buildCall());
-    await finishCall(world);
+    await waitForEnd(world);
     const runs = world.fake.sends.filter(isRun).length;
     assert.ok(runs <= 1);
     if (world.end?.outcome === Outcome.NotRun) assert.equal(runs, 0);
