--- /dev/null
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -0,0 +1,171 @@
+/** A route over scripted endpoints, for the steps of forwarding. */
+import type { PausedClock } from "@trefoildoor/testing";
+import {
+  createEndpointBoard,
+  createEndpointList,
+  createReadSpeeds,
+  type EndpointBoard,
+  type EndpointList,
+} from "../../process/fleet/index.ts";
+import { CallKind, type ForwardCall } from "../../types/index.ts";
+import {
+  buildRouteIndex,
+  type RouteIndex,
+} from "../../version/routes/index.ts";
+import {
+  buildEndpoint,
+  createFakeCaller,
+  createFakeEndpoints,
+  type FakeCaller,
+  type FakeEndpoints,
+} from "./fake_endpoints.test.ts";
+import { type ForwardEnd, type ForwardParts, runForward } from "./index.ts";
+
+/** State of one scenario. */
+export interface ForwardWorld {
+  forwardClock?: PausedClock;
+  fake: FakeEndpoints;
+  endpoints: EndpointList;
+  board: EndpointBoard;
+  version: RouteIndex;
+  caller: FakeCaller;
+  end?: ForwardEnd;
+  ending: Promise<void>;
+}
+
+const service = "service";
+const goalMs = 600;
+const timeoutMs = 6_000;
+
+/** Splits a list of names. */
+export function splitNames(text: string): readonly string[] {
+  return text.split(", ").filter((name) => name !== "");
+}
+
+function applyEndpoints(world: ForwardWorld, names: readonly string[]): void {
+  world.endpoints.apply({
+    records: names.map((name, offset) => ({
+      key: name,
+      value: buildEndpoint(name),
+      offset,
+    })),
+    next: names.length,
+    whole: true,
+  });
+}
+
+/** Prepares a route over endpoints. */
+export function prepareWorld(
+  world: ForwardWorld,
+  kind: string,
+  options: { readonly names: readonly string[]; readonly most: number },
+): void {
+  world.fake = createFakeEndpoints();
+  world.board = createEndpointBoard({ logEvent: () => undefined });
+  world.endpoints = createEndpointList({
+    getSteadyMs: () => Infinity,
+    logEvent: () => undefined,
+  });
+  applyEndpoints(world, options.names);
+  const kinds: Readonly<Record<string, CallKind>> = {
+    idempotent: CallKind.Idempotent,
+    "at_most_once": CallKind.AtMostOnce,
+  };
+  world.version = buildRouteIndex({
+    version: 1,
+    routes: [{
+      name: "route",
+      host: "host",
+      pathPrefix: "/path/",
+      kind: kinds[kind] ?? CallKind.Stream,
+      resumable: kind.startsWith("resumable"),
+      timeoutMs,
+      goalMs,
+      maxEndpoints: options.most,
+      rank: 1,
+      targets: [{ service, weight: 1 }],
+    }],
+    services: [{
+      name: service,
+      maxConnections: 100,
+      engines: {
+        slots: 64,
+        cacheTokens: 1,
+        exportTtlMs: 5_000,
+        roleChangeMs: 1,
+      },
+    }],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  });
+}
+
+function buildParts(world: ForwardWorld): ForwardParts {
+  return {
+    sender: world.fake.sender,
+    endpoints: world.endpoints,
+    board: world.board,
+    speeds: createReadSpeeds(),
+    budget: {
+      noteCall: () => undefined,
+      noteRepeat: () => undefined,
+      allowRepeat: () => true,
+    },
+    isChanging: () => false,
+    ownDomain: "sapporo",
+    random: () => 0,
+    logEvent: () => undefined,
+  };
+}
+
+/** Builds a call. */
+export function buildCall(change: Partial<ForwardCall> = {}): ForwardCall {
+  return {
+    id: "call",
+    method: "POST",
+    target: "/path/x?y=1",
+    host: "host",
+    headers: [],
+    body: Buffer.alloc(0),
+    receivedMs: performance.now(),
+    ...change,
+  };
+}
+
+/** Starts to forward a call. */
+export function startCall(world: ForwardWorld, call: ForwardCall): void {
+  world.caller = createFakeCaller();
+  world.end = undefined;
+  world.ending = runForward(call, world.version, {
+    answer: world.caller.answer,
+    parts: buildParts(world),
+  }).then((end) => {
+    world.end = end;
+  });
+}
+
+/** Makes all endpoints of the same role but one look busy, so that the call goes there first. */
+export function useFirst(world: ForwardWorld, name: string): void {
+  for (const other of world.endpoints.listAll()) {
+    if (other.name === name || other.name[0] !== name[0]) continue;
+    for (let each = 0; each < 3; each++) world.board.openCall(other.name);
+    world.board.openCall(other.name, { tokens: 1, parts: [], late: false });
+  }
+}
+
+/** Lets time pass until the call has ended. */
+export async function waitForEnd(world: ForwardWorld): Promise<void> {
+  for (let each = 0; each < 100 && !world.end; each++) {
+    await world.forwardClock?.tickAsync(100);
+  }
+  await world.ending;
+}
+
+/** Lists the endpoints that the call has reached. */
+export function listReached(world: ForwardWorld): string {
+  return world.fake.sends.map(({ endpoint }) => endpoint).join(", ");
+}
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -1,179 +1,27 @@
 /** Steps of `forwarding.feature`. */
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import { pauseClock } from "@trefoildoor/testing";
 import fc from "fast-check";
+import { Outcome } from "../../types/index.ts";
+import { type Behaviour, buildEndpoint, isRun } from "./fake_endpoints.test.ts";
 import {
-  createEndpointBoard,
-  createEndpointList,
-  createReadSpeeds,
-  type EndpointBoard,
-  type EndpointList,
-} from "../../process/fleet/index.ts";
-import { CallKind, type ForwardCall, Outcome } from "../../types/index.ts";
-import {
-  buildRouteIndex,
-  type RouteIndex,
-} from "../../version/routes/index.ts";
-import {
-  type Behaviour,
-  buildEndpoint,
-  createFakeCaller,
-  createFakeEndpoints,
-  type FakeCaller,
-  type FakeEndpoints,
-  isRun,
-} from "./fake_endpoints.test.ts";
-import { type ForwardEnd, type ForwardParts, runForward } from "./index.ts";
-
-/** State of one scenario. */
-interface ForwardWorld {
-  forwardClock?: PausedClock;
-  fake: FakeEndpoints;
-  endpoints: EndpointList;
-  board: EndpointBoard;
-  version: RouteIndex;
-  caller: FakeCaller;
-  end?: ForwardEnd;
-  ending: Promise<void>;
-}
+  buildCall,
+  type ForwardWorld,
+  listReached,
+  prepareWorld,
+  splitNames,
+  startCall,
+  useFirst,
+  waitForEnd,
+} from "./forward_world.test.ts";
 
-const service = "service";
-const goalMs = 600;
-const timeoutMs = 6_000;
 const propertyRun = { seed: 1_207, numRuns: 300 };
 
 After(function (this: ForwardWorld): void {
   this.forwardClock?.uninstall();
 });
 
-function splitNames(text: string): readonly string[] {
-  return text.split(", ").filter((name) => name !== "");
-}
-
-function applyEndpoints(world: ForwardWorld, names: readonly string[]): void {
-  world.endpoints.apply({
-    records: names.map((name, offset) => ({
-      key: name,
-      value: buildEndpoint(name),
-      offset,
-    })),
-    next: names.length,
-    whole: true,
-  });
-}
-
-function prepareWorld(
-  world: ForwardWorld,
-  kind: string,
-  options: { readonly names: readonly string[]; readonly most: number },
-): void {
-  world.fake = createFakeEndpoints();
-  world.board = createEndpointBoard({ logEvent: () => undefined });
-  world.endpoints = createEndpointList({
-    getSteadyMs: () => Infinity,
-    logEvent: () => undefined,
-  });
-  applyEndpoints(world, options.names);
-  const kinds: Readonly<Record<string, CallKind>> = {
-    idempotent: CallKind.Idempotent,
-    "at_most_once": CallKind.AtMostOnce,
-  };
-  world.version = buildRouteIndex({
-    version: 1,
-    routes: [{
-      name: "route",
-      host: "host",
-      pathPrefix: "/path/",
-      kind: kinds[kind] ?? CallKind.Stream,
-      resumable: kind.startsWith("resumable"),
-      timeoutMs,
-      goalMs,
-      maxEndpoints: options.most,
-      rank: 1,
-      targets: [{ service, weight: 1 }],
-    }],
-    services: [{
-      name: service,
-      maxConnections: 100,
-      engines: {
-        slots: 64,
-        cacheTokens: 1,
-        exportTtlMs: 5_000,
-        roleChangeMs: 1,
-      },
-    }],
-    limits: {
-      maxHeaderBytes: 1,
-      maxBodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-  });
-}
-
-function buildParts(world: ForwardWorld): ForwardParts {
-  return {
-    sender: world.fake.sender,
-    endpoints: world.endpoints,
-    board: world.board,
-    speeds: createReadSpeeds(),
-    budget: {
-      noteCall: () => undefined,
-      noteRepeat: () => undefined,
-      allowRepeat: () => true,
-    },
-    isChanging: () => false,
-    ownDomain: "sapporo",
-    random: () => 0,
-    logEvent: () => undefined,
-  };
-}
-
-function buildCall(change: Partial<ForwardCall> = {}): ForwardCall {
-  return {
-    id: "call",
-    method: "POST",
-    target: "/path/x?y=1",
-    host: "host",
-    headers: [],
-    body: Buffer.alloc(0),
-    receivedMs: performance.now(),
-    ...change,
-  };
-}
-
-function startCall(world: ForwardWorld, call: ForwardCall): void {
-  world.caller = createFakeCaller();
-  world.end = undefined;
-  world.ending = runForward(call, world.version, {
-    answer: world.caller.answer,
-    parts: buildParts(world),
-  }).then((end) => {
-    world.end = end;
-  });
-}
-
-/** Makes all endpoints of the same role but one look busy, so that the call goes there first. */
-function useFirst(world: ForwardWorld, name: string): void {
-  for (const other of world.endpoints.listAll()) {
-    if (other.name === name || other.name[0] !== name[0]) continue;
-    for (let each = 0; each < 3; each++) world.board.openCall(other.name);
-    world.board.openCall(other.name, { tokens: 1, parts: [], late: false });
-  }
-}
-
-async function waitForEnd(world: ForwardWorld): Promise<void> {
-  for (let each = 0; each < 100 && !world.end; each++) {
-    await world.forwardClock?.tickAsync(100);
-  }
-  await world.ending;
-}
-
-function listReached(world: ForwardWorld): string {
-  return world.fake.sends.map(({ endpoint }) => endpoint).join(", ");
-}
-
 Given(
   "a {string} route over {string} with {int} endpoints for a call",
   function (
