Pass answers without a length on as they came

A connection whose call was answered before all of it was sent is not used again. Test: unframed answers in forwarding.feature failed first; early answers in channels.feature.

--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -9,7 +9,7 @@
   RemoteFailure,
   type SendFacts,
 } from "../../types/index.ts";
-import type { CallerAnswer, EndpointAnswer, EndpointSender } from "./index.ts";
+import type { AnswerFraming, CallerAnswer, EndpointAnswer, EndpointSender } from "./index.ts";
 
 /** What an endpoint does with one call. */
 export type Behaviour =
@@ -22,6 +22,7 @@
   | "torn"
   | "foreign"
   | "unmarked"
+  | "unframed"
   | "encoded"
   | "silent"
   | `events ${number}-${number}`
@@ -44,6 +45,7 @@
   "torn",
   "foreign",
   "unmarked",
+  "unframed",
   "encoded",
   "silent",
   "stalls",
@@ -103,6 +105,7 @@
   if (behaviour === "silent") await waitForAbort(signal);
   return {
     head: buildHead(call, behaviour),
+    framed: behaviour !== "unframed",
     body: streamBody(send, signal),
   };
 }
@@ -171,6 +174,7 @@
   readonly answer: CallerAnswer;
   readonly leave: () => void;
   status?: number;
+  framing?: AnswerFraming;
   retryAfter?: string;
   text: string;
   ended: boolean;
@@ -188,8 +192,9 @@
     answer: {
       left: left.signal,
       isStarted: () => caller.status !== undefined,
-      start: (status, headers) => {
+      start: (status, headers, framing) => {
         caller.status = status;
+        caller.framing = framing;
         const at = headers.indexOf("retry-after");
         if (at >= 0) caller.retryAfter = headers[at + 1];
       },
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -41,6 +41,13 @@
     Then the caller gets status 503
     And the caller is told when to come back
 
+  Scenario: An answer that ends with its connection is passed on like that
+    Given a "at_most_once" route over "e1" with 1 endpoints for a call
+    And "e1" answers "unframed"
+    When a call is forwarded
+    Then the caller gets status 200
+    And the caller's answer ends with its connection
+
   Scenario: A path without a route is answered as such
     Given a "idempotent" route over "e1" with 1 endpoints for a call
     When a call to another path is forwarded
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -166,6 +166,12 @@
   },
 );
 
+Then("the caller's answer ends with its connection", function (
+  this: ForwardWorld,
+): void {
+  assert.deepEqual(this.caller.framing, { untilClose: true });
+});
+
 Then("the call at {string} is taken back", function (
   this: ForwardWorld,
   name: string,
--- a/packages/core/src/request/forwarding/index.ts
+++ b/packages/core/src/request/forwarding/index.ts
@@ -10,6 +10,7 @@
 } from "./place_generation.ts";
 export { answerEnd, runForward } from "./run_forward.ts";
 export type {
+  AnswerFraming,
   CallerAnswer,
   EndpointAnswer,
   EndpointSender,
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -82,9 +82,12 @@
   }
 }
 
-function startAnswer(state: StreamState, { head }: EndpointAnswer): void {
+function startAnswer(
+  state: StreamState,
+  { head, framed }: EndpointAnswer,
+): void {
   if (state.answer.isStarted()) return;
-  state.answer.start(head.status, head.headers);
+  state.answer.start(head.status, head.headers, { untilClose: !framed });
   state.firstByteMs = getAgeMs(state);
 }
 
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -141,8 +141,12 @@
 }
 
 function answerWhole(state: CallState, whole: WholeAnswer): ForwardEnd {
-  const { head } = whole.answer;
-  state.answer.start(head.status, head.headers, { length: whole.body.length });
+  const { head, framed } = whole.answer;
+  state.answer.start(
+    head.status,
+    head.headers,
+    framed ? { length: whole.body.length } : { untilClose: true },
+  );
   const firstByteMs = getAgeMs(state);
   void state.answer.write(whole.body);
   state.answer.end();
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -20,6 +20,11 @@
 /** An endpoint's answer while its body arrives. */
 export interface EndpointAnswer {
   readonly head: AnswerHead;
+  /**
+   * Whether the answer says where its body ends. One that does not ends with
+   * its connection, and nobody can tell whether it is whole.
+   */
+  readonly framed: boolean;
   /**
    * Rejects with `RemoteError` when the answer breaks off. Ending the
    * iteration early closes the connection.
@@ -53,6 +58,14 @@
   ) => void;
 }
 
+/** How an answer's end is told to the caller; in chunks where neither is given. */
+export interface AnswerFraming {
+  /** Length of the body, in bytes. */
+  readonly length?: number;
+  /** The body ends with the connection, as the endpoint's did. */
+  readonly untilClose?: boolean;
+}
+
 /** The caller's side of a call. */
 export interface CallerAnswer {
   /** Aborts when the caller has left. */
@@ -61,7 +74,7 @@
   readonly start: (
     status: number,
     headers: readonly string[],
-    options?: { readonly length?: number },
+    options?: AnswerFraming,
   ) => void;
   /** Resolves once the caller can take more. */
   readonly write: (chunk: Buffer) => Promise<void>;
--- /dev/null
+++ b/packages/node/src/entry/channels.steps.ts
@@ -0,0 +1,231 @@
+/** Steps of `channels.feature`. */
+import { strict as assert } from "node:assert";
+import { createServer, type Server, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Effect, RemoteError, waitFor } from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
+import { type ChannelAnswer, type Channels, createChannels } from "./index.ts";
+
+/** State of one scenario. */
+interface ChannelsWorld {
+  channels?: Channels;
+  scripted?: Server;
+  scriptedAddress: string;
+  script: string[];
+  sockets: Set<Socket>;
+  opened: number;
+  results: string[];
+  closedByCaller: boolean;
+  sentAll: boolean;
+}
+
+const body = "body";
+const whole = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+const requestEnd = "\r\n\r\n";
+/** More than the connection holds while nobody reads. */
+const largeBytes = 16_000_000;
+const settleMs = 60;
+
+After(function (this: ChannelsWorld): void {
+  this.channels?.close();
+  for (const socket of this.sockets ?? []) socket.destroy();
+  this.scripted?.close();
+});
+
+/** Writes one scripted answer. */
+function answerScripted(
+  world: ChannelsWorld,
+  { socket, step }: { readonly socket: Socket; readonly step: string },
+): void {
+  switch (step) {
+    case "whole":
+      return void socket.write(whole);
+    case "whole and extra":
+      return void socket.write(whole + whole);
+    case "whole then closed":
+      return void socket.end(whole);
+    case "last":
+      return void socket.write(
+        whole.replace("\r\n", "\r\nconnection: close\r\n"),
+      );
+    case "torn":
+      return void socket.end(whole.slice(0, -2));
+    case "nonsense":
+      return void socket.write("\u0001\u0002 what is this\r\n\r\n");
+    case "closed":
+      return void socket.end();
+    case "reset":
+      return void socket.resetAndDestroy();
+    case "without length":
+      return void socket.end(`HTTP/1.1 200 OK\r\n\r\n${body}`);
+    case "reset without length":
+      socket.write(`HTTP/1.1 200 OK\r\n\r\n${body}`);
+      return void setTimeout(() => socket.resetAndDestroy(), settleMs);
+    case "early":
+      socket.pause();
+      return void socket.write(whole.replace("200 OK", "413 Too Large"));
+    case "endless":
+      socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+      return void socket.write("4\r\nbody\r\n");
+    default: {
+      const bytes = Number(step);
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${bytes}\r\n\r\n`);
+      socket.write(Buffer.alloc(bytes), () => world.sentAll = true);
+    }
+  }
+}
+
+Given(
+  "a server that follows a script",
+  async function (this: ChannelsWorld): Promise<void> {
+    this.channels = createChannels();
+    this.script = [];
+    this.sockets = new Set();
+    this.opened = 0;
+    this.results = [];
+    this.closedByCaller = false;
+    this.sentAll = false;
+    this.scripted = createServer((socket) => {
+      this.opened += 1;
+      this.sockets.add(socket);
+      socket.on("error", () => undefined);
+      socket.on("close", () => this.closedByCaller = true);
+      let text = "";
+      socket.on("data", (chunk) => {
+        text += chunk.toString("latin1");
+        if (!text.includes(requestEnd)) return;
+        text = "";
+        answerScripted(this, { socket, step: this.script.shift() ?? "" });
+      });
+    });
+    await new Promise<void>((resolve) =>
+      this.scripted?.listen(0, "127.0.0.1", resolve)
+    );
+    const address = this.scripted.address();
+    assert.ok(address && typeof address === "object");
+    this.scriptedAddress = `127.0.0.1:${address.port}`;
+  },
+);
+
+async function readText(answer: ChannelAnswer): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of answer.body) chunks.push(chunk);
+  return Buffer.concat(chunks).toString();
+}
+
+async function runCall(
+  world: ChannelsWorld,
+  step: string,
+  options: { readonly maxIdleMs?: number; readonly address?: string } = {},
+): Promise<void> {
+  world.script.push(step);
+  try {
+    const answer = await world.channels?.exchange(
+      options.address ?? world.scriptedAddress,
+      {
+        method: "POST",
+        path: "/x",
+        headers: [],
+        // The server answers before it has read a long body.
+        body: Buffer.alloc(step === "early" ? largeBytes : 0),
+        maxIdleMs: options.maxIdleMs,
+        signal: AbortSignal.timeout(5_000),
+      },
+    );
+    assert.ok(answer);
+    const text = await readText(answer);
+    const framing = answer.framed ? "" : " to the end";
+    world.results.push(`${answer.status} ${text}${framing}`);
+  } catch (error) {
+    assert.ok(error instanceof RemoteError, String(error));
+    world.results.push(error.effect === Effect.None ? "not sent" : "unknown");
+  }
+  await waitFor(settleMs);
+}
+
+When(
+  "calls are answered {string}",
+  async function (this: ChannelsWorld, steps: string): Promise<void> {
+    for (const step of steps.split(", ")) await runCall(this, step);
+  },
+);
+
+When(
+  "the next call allows an idle time of {int} ms and is answered {string}",
+  async function (
+    this: ChannelsWorld,
+    maxIdleMs: number,
+    step: string,
+  ): Promise<void> {
+    await runCall(this, step, { maxIdleMs });
+  },
+);
+
+When(
+  "a call is given up while its answer arrives",
+  async function (this: ChannelsWorld): Promise<void> {
+    this.script.push("endless");
+    const abort = new AbortController();
+    const answer = await this.channels?.exchange(this.scriptedAddress, {
+      method: "GET",
+      path: "/x",
+      headers: [],
+      signal: abort.signal,
+    });
+    assert.ok(answer);
+    setTimeout(() => abort.abort(), settleMs);
+    await assert.rejects(readText(answer), RemoteError);
+    this.results.push("unknown");
+  },
+);
+
+When(
+  "a call goes to an address where nothing listens",
+  async function (this: ChannelsWorld): Promise<void> {
+    await new Promise((resolve) => this.scripted?.close(resolve));
+    await runCall(this, "", { address: this.scriptedAddress });
+  },
+);
+
+When(
+  "an answer of {int} bytes is not read",
+  async function (this: ChannelsWorld, bytes: number): Promise<void> {
+    this.script.push(String(bytes));
+    await this.channels?.exchange(this.scriptedAddress, {
+      method: "GET",
+      path: "/x",
+      headers: [],
+    });
+    await waitFor(10 * settleMs);
+  },
+);
+
+Then(
+  "the results are {string}",
+  function (this: ChannelsWorld, expected: string): void {
+    assert.equal(this.results.join(", "), expected);
+  },
+);
+
+Then(
+  "{int} connections were opened",
+  function (this: ChannelsWorld, expected: number): void {
+    assert.equal(this.opened, expected);
+  },
+);
+
+Then(
+  "the server sees its connection closed",
+  async function (this: ChannelsWorld): Promise<void> {
+    await waitUntil("connection closed", () => this.closedByCaller, {
+      deadlineMs: 2_000,
+    });
+  },
+);
+
+Then(
+  "the server could not send all of it",
+  function (this: ChannelsWorld): void {
+    assert.equal(this.sentAll, false);
+  },
+);
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -26,6 +26,8 @@
   readonly status: number;
   /** Names and values in turn. */
   readonly headers: readonly string[];
+  /** Whether it says where its body ends; otherwise that is the connection's end. */
+  readonly framed: boolean;
   readonly body: AsyncIterable<Buffer>;
 }
 
@@ -54,6 +56,8 @@
 /** Time after which the kernel probes an idle connection, in ms. */
 const probeAfterMs = 2_000;
 
+const framingHeaders = new Set(["content-length", "transfer-encoding"]);
+
 interface Channel {
   readonly address: string;
   readonly client: UndiciClient;
@@ -116,8 +120,10 @@
   }
 
   function releaseChannel(channel: Channel): void {
-    const usable = channel.socket && !channel.socket.destroyed && !closed;
-    if (!usable) return closeChannel(channel);
+    const { socket } = channel;
+    // An endpoint that answered early has not read the whole call yet.
+    const usable = socket && !socket.destroyed && socket.writableLength === 0;
+    if (!usable || closed) return closeChannel(channel);
     channel.idleSinceMs = performance.now();
     const known = idle.get(channel.address) ?? [];
     known.push(channel);
@@ -240,11 +246,8 @@
         if (status < 200) return;
         headed = true;
         const raw = started.rawHeaders as readonly Buffer[] | null;
-        resolve({
-          status,
-          headers: (raw ?? []).map((each) => each.toString("latin1")),
-          body,
-        });
+        const headers = (raw ?? []).map((each) => each.toString("latin1"));
+        resolve({ status, headers, framed: isFramed(headers), body });
       },
       onResponseData: (_started, chunk) => body.add(chunk),
       onResponseEnd(): void {
@@ -263,6 +266,12 @@
   });
 }
 
+function isFramed(headers: readonly string[]): boolean {
+  return headers.some((name, index) =>
+    index % 2 === 0 && framingHeaders.has(name.toLowerCase())
+  );
+}
+
 function createAbortError(
   signal: AbortSignal | undefined,
   sent: boolean,
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -30,6 +30,7 @@
       });
       return {
         head: codec.decodeHead(answer.status, answer.headers),
+        framed: answer.framed,
         body: answer.body,
       };
     },
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -180,16 +180,19 @@
   options: { readonly isLeaving: () => boolean },
 ): CallerAnswer {
   const left = new AbortController();
+  let endsWithConnection = false;
   response.once("close", () => {
     if (!response.writableFinished) left.abort();
   });
   return {
     left: left.signal,
     isStarted: () => response.headersSent,
-    start(status, headers, { length } = {}): void {
+    start(status, headers, { length, untilClose = false } = {}): void {
       const all = [...headers];
       if (length !== undefined) all.push("content-length", String(length));
-      if (options.isLeaving()) all.push("connection", "close");
+      if (untilClose) response.useChunkedEncodingByDefault = false;
+      endsWithConnection = untilClose;
+      if (untilClose || options.isLeaving()) all.push("connection", "close");
       response.writeHead(status, all);
       response.flushHeaders();
     },
@@ -201,6 +204,10 @@
       });
     },
     end: () => void response.end(),
-    cut: () => void response.destroy(),
+    // Only a reset shows that an answer without framing is not whole.
+    cut: () =>
+      endsWithConnection
+        ? void response.socket?.resetAndDestroy()
+        : void response.destroy(),
   };
 }
