Test the listener for callers, and survive a refused large body

Found by the test of large requests: the request had lost its socket when the response closed, and the process ended with an unexpected error (failed first, passes now). Unexpected errors are logged before the process ends.

--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -9,7 +9,12 @@
   RemoteFailure,
   type SendFacts,
 } from "../../types/index.ts";
-import type { AnswerFraming, CallerAnswer, EndpointAnswer, EndpointSender } from "./index.ts";
+import type {
+  AnswerFraming,
+  CallerAnswer,
+  EndpointAnswer,
+  EndpointSender,
+} from "./index.ts";
 
 /** What an endpoint does with one call. */
 export type Behaviour =
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -20,7 +20,8 @@
 }
 
 const body = "body";
-const whole = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+const whole =
+  `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 const requestEnd = "\r\n\r\n";
 /** More than the connection holds while nobody reads. */
 const largeBytes = 16_000_000;
--- a/packages/node/src/entry/events.ts
+++ b/packages/node/src/entry/events.ts
@@ -51,6 +51,11 @@
     severity: Severity.Warning,
     message: "call of a caller cannot be decoded",
   },
+  crashed: {
+    number: 863,
+    severity: Severity.Error,
+    message: "entry ends because of an unexpected error",
+  },
   linesDropped: {
     number: 862,
     severity: Severity.Warning,
--- /dev/null
+++ b/packages/node/src/entry/front_server.feature
@@ -0,0 +1,49 @@
+Feature: The listener for callers answers each request once and stops in order
+
+  Background:
+    Given a listener for callers
+
+  Scenario: A request is read in full and answered
+    When a caller sends a request with 5000 bytes
+    Then the caller gets status 200 and the body "5000"
+
+  Scenario: A request that is too large is refused and not forwarded
+    When the configuration allows 1000 bytes
+    And a caller sends a request with 5000 bytes
+    Then the caller gets status 413 and the body ""
+    And 0 requests were forwarded
+
+  Scenario: A caller that leaves is noticed
+    When a caller leaves while its request runs
+    Then the request is told that its caller has left
+
+  Scenario: A stream that is cut cannot look complete
+    When a caller sends a request whose answer is cut after "part"
+    Then the caller sees its answer break off
+
+  Scenario: An answer without framing that is cut is reset
+    When a caller sends a request whose unframed answer is cut after "part"
+    Then the caller sees its answer break off
+
+  Scenario: An answer without framing ends with the connection
+    When a caller sends a request whose unframed answer is "part"
+    Then the caller gets status 200 and the body "part"
+
+  Scenario: While it is leaving, answers end their connections
+    When the listener is leaving
+    And a caller sends a request with 10 bytes
+    Then the caller gets status 200 and the body "10"
+    And the caller is told to close its connection
+
+  Scenario: Once it takes nothing more, kept connections are closed and requests in flight end
+    Given a caller with a kept connection
+    And a caller whose request takes 300 ms
+    When the listener takes nothing more
+    Then the kept connection is closed
+    And the request that takes long is answered with 200
+    And new connections are refused
+
+  Scenario: Two requests smuggled as one are refused
+    When a caller sends a request with two kinds of framing
+    Then the caller gets status 400 and the body ""
+    And 0 requests were forwarded
--- /dev/null
+++ b/packages/node/src/entry/front_server.steps.ts
@@ -0,0 +1,240 @@
+/** Steps of `front_server.feature`. */
+import { strict as assert } from "node:assert";
+import { connect, createServer, type Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { waitFor } from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
+import {
+  type FrontRequest,
+  type FrontServer,
+  openFrontServer,
+} from "./front_server.ts";
+
+/** State of one scenario. */
+interface FrontWorld {
+  front?: FrontServer;
+  frontAddress: { host: string; port: number };
+  forwarded: FrontRequest[];
+  told: boolean;
+  frontSockets: Socket[];
+  received: string;
+  broken: boolean;
+  slow?: Promise<string>;
+  kept?: Socket;
+}
+
+const limits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_000_000,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 5_000,
+};
+
+After(function (this: FrontWorld): void {
+  for (const socket of this.frontSockets ?? []) socket.destroy();
+  this.front?.stopTaking();
+});
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  await new Promise((resolve) => server.close(resolve));
+  assert.ok(address && typeof address === "object");
+  return address.port;
+}
+
+Given("a listener for callers", async function (
+  this: FrontWorld,
+): Promise<void> {
+  this.forwarded = [];
+  this.told = false;
+  this.frontSockets = [];
+  this.received = "";
+  this.broken = false;
+  const port = await findFreePort();
+  this.frontAddress = { host: "127.0.0.1", port };
+  this.front = await openFrontServer({
+    address: `127.0.0.1:${port}`,
+    onFailure: (error) => assert.fail(String(error)),
+    answer: async (request, answer) => {
+      this.forwarded.push(request);
+      answer.left.addEventListener("abort", () => this.told = true);
+      const [, step = "", text = ""] = request.target.split("/");
+      if (step === "slow") await waitFor(Number(text));
+      if (step === "hang") return;
+      const body = step === "size" ? String(request.body.length) : text;
+      const untilClose = step.startsWith("unframed");
+      answer.start(
+        200,
+        [],
+        step === "size" ? { length: body.length } : { untilClose },
+      );
+      await answer.write(Buffer.from(body));
+      // The caller has the first part before the cut.
+      if (step.endsWith("cut")) await waitFor(50);
+      if (step.endsWith("cut")) answer.cut();
+      else answer.end();
+    },
+  });
+  this.front.applyLimits(limits);
+});
+
+function openSocket(world: FrontWorld): Socket {
+  const socket = connect(world.frontAddress);
+  world.frontSockets.push(socket);
+  return socket;
+}
+
+/** Sends bytes and resolves to all that comes until the connection ends. */
+function sendBytes(world: FrontWorld, bytes: string): Promise<string> {
+  const socket = openSocket(world);
+  let text = "";
+  return new Promise((resolve) => {
+    socket.on("data", (chunk) => text += chunk.toString());
+    socket.on("error", () => world.broken = true);
+    socket.on("close", () => resolve(text));
+    socket.write(bytes);
+  });
+}
+
+function buildRequest(path: string, bytes: number): string {
+  return `POST ${path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n` +
+    `content-length: ${bytes}\r\n\r\n${"x".repeat(bytes)}`;
+}
+
+When(
+  "a caller sends a request with {int} bytes",
+  async function (this: FrontWorld, bytes: number): Promise<void> {
+    this.received = await sendBytes(this, buildRequest("/size/", bytes));
+  },
+);
+
+When("the configuration allows {int} bytes", function (
+  this: FrontWorld,
+  maxBodyBytes: number,
+): void {
+  this.front?.applyLimits({ ...limits, maxBodyBytes });
+});
+
+When("a caller leaves while its request runs", async function (
+  this: FrontWorld,
+): Promise<void> {
+  const socket = openSocket(this);
+  socket.write(buildRequest("/hang/", 1));
+  await waitUntil("request forwarded", () => this.forwarded.length === 1);
+  socket.destroy();
+});
+
+When(
+  /^a caller sends a request whose (unframed )?answer is (cut after )?"(.*)"$/,
+  async function (
+    this: FrontWorld,
+    unframed: string | null,
+    cut: string | null,
+    text: string,
+  ): Promise<void> {
+    const step = `${unframed ? "unframed" : "framed"}${cut ? "cut" : ""}`;
+    this.received = await sendBytes(this, buildRequest(`/${step}/${text}`, 1));
+  },
+);
+
+When("a caller sends a request with two kinds of framing", async function (
+  this: FrontWorld,
+): Promise<void> {
+  this.received = await sendBytes(
+    this,
+    "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n" +
+      "transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+  );
+});
+
+When("the listener is leaving", function (this: FrontWorld): void {
+  this.front?.startLeaving();
+});
+
+Given("a caller with a kept connection", async function (
+  this: FrontWorld,
+): Promise<void> {
+  const socket = openSocket(this);
+  socket.write("GET /size/ HTTP/1.1\r\nhost: a\r\n\r\n");
+  await new Promise((resolve) => socket.once("data", resolve));
+  socket.on("error", () => undefined);
+  this.kept = socket;
+});
+
+Given("a caller whose request takes {int} ms", async function (
+  this: FrontWorld,
+  ms: number,
+): Promise<void> {
+  const before = this.forwarded.length;
+  this.slow = sendBytes(this, buildRequest(`/slow/${ms}`, 1));
+  await waitUntil("request forwarded", () => this.forwarded.length > before);
+});
+
+When("the listener takes nothing more", function (this: FrontWorld): void {
+  this.front?.stopTaking();
+});
+
+Then(
+  "the caller gets status {int} and the body {string}",
+  function (this: FrontWorld, status: number, body: string): void {
+    assert.ok(this.received.startsWith(`HTTP/1.1 ${status} `), this.received);
+    assert.equal(this.received.split("\r\n\r\n")[1], body);
+    assert.equal(this.broken, false);
+  },
+);
+
+Then("{int} requests were forwarded", function (
+  this: FrontWorld,
+  expected: number,
+): void {
+  assert.equal(this.forwarded.length, expected);
+});
+
+Then("the request is told that its caller has left", async function (
+  this: FrontWorld,
+): Promise<void> {
+  await waitUntil("told", () => this.told, { deadlineMs: 2_000 });
+});
+
+Then("the caller sees its answer break off", function (
+  this: FrontWorld,
+): void {
+  const whole = this.received.endsWith("0\r\n\r\n");
+  assert.ok(this.received.includes("part"), this.received);
+  assert.ok(!whole);
+  assert.ok(this.broken || this.received.includes("chunked"));
+});
+
+Then("the caller is told to close its connection", function (
+  this: FrontWorld,
+): void {
+  assert.match(this.received, /connection: close/i);
+});
+
+Then("the kept connection is closed", async function (
+  this: FrontWorld,
+): Promise<void> {
+  await waitUntil("closed", () => this.kept?.closed ?? false, {
+    deadlineMs: 2_000,
+  });
+});
+
+Then("the request that takes long is answered with {int}", async function (
+  this: FrontWorld,
+  status: number,
+): Promise<void> {
+  assert.match((await this.slow) ?? "", new RegExp(`^HTTP/1.1 ${status} `));
+});
+
+Then("new connections are refused", async function (
+  this: FrontWorld,
+): Promise<void> {
+  const socket = openSocket(this);
+  const refused = await new Promise((resolve) => {
+    socket.once("connect", () => resolve(false));
+    socket.once("error", () => resolve(true));
+  });
+  assert.equal(refused, true);
+});
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -79,15 +79,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // The request loses its socket when the connection is destroyed.
+    const { socket } = request;
     // A request that crossed the close is not read, so its caller may repeat it.
-    if (!taking) return void request.socket.destroy();
-    idle.delete(request.socket);
+    if (!taking) return void socket.destroy();
+    idle.delete(socket);
     open += 1;
     response.sendDate = false;
     response.once("close", () => {
       open -= 1;
-      if (!request.socket.destroyed) idle.add(request.socket);
-      if (!taking) request.socket.destroySoon();
+      if (!socket.destroyed) idle.add(socket);
+      if (!taking) socket.destroySoon();
     });
     const answer = createAnswer(response, { isLeaving: () => leaving });
     try {
--- a/packages/node/src/entry/run_entry.ts
+++ b/packages/node/src/entry/run_entry.ts
@@ -71,6 +71,10 @@
         .finally(() => process.exit(0));
     });
     process.on("SIGHUP", () => checkReload(path));
+    process.on("uncaughtException", (error) => {
+      logEvent(entryEvents.crashed, { error: error.stack ?? String(error) });
+      void writer.flush().finally(() => process.exit(failureExitCode));
+    });
   } catch (error) {
     console.error(`Entry could not start: ${error}`);
     await writer.flush();
