--- a/packages/core/src/shared/events.ts
+++ b/packages/core/src/shared/events.ts
@@ -2,6 +2,7 @@
  * Numbered log events. Each part of the system lists its events in one
  * catalogue module; docs/EVENTS.md repeats them and a test compares both.
  */
+import "./enable_logs.ts";
 import { Roarr } from "roarr";
 
 /** Severity of an event. */
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -161,7 +161,8 @@
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of request) {
+  // The connection has to stay for the answer when the reading ends early.
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     chunks.push(chunk);
     bytes += chunk.length;
     if (bytes > maxBytes) return undefined;
@@ -173,7 +174,10 @@
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
-  response.writeHead(payloadTooLarge, { connection: "close" });
+  response.writeHead(payloadTooLarge, {
+    connection: "close",
+    "content-length": 0,
+  });
   response.end(() => request.destroy());
 }
 
--- a/tools/check_source.ts
+++ b/tools/check_source.ts
@@ -1,7 +1,8 @@
 /**
  * Checks the house rules that formatter and linter do not know: snake_case
  * file names, verbs of function names, JSDoc on exports, at most two
- * positional parameters, and the length of files.
+ * positional parameters, the length of files, and that names of the platform's
+ * wire stay in its adapter.
  */
 import { readdirSync, readFileSync } from "node:fs";
 import { basename, join } from "node:path";
@@ -19,11 +20,20 @@
 const snakeCase =
   /^[a-z0-9]+(_[a-z0-9]+)*(\.(steps|test|feature|d))?\.(ts|feature)$/;
 const sourceRoots = ["packages", "platform", "tools"];
+/** The one folder that knows the platform's names, and the list of these. */
+const adapterRoot = "platform/";
+const wireNamesPath = "platform/wire_names.json";
 
 function main(): void {
   const verbs = readVerbs("docs/VERBS.md");
   const files = sourceRoots.flatMap((root) => listSources(root));
-  const findings = files.flatMap((path) => checkFile(path, verbs));
+  const wireNames: readonly string[] = JSON.parse(
+    readFileSync(wireNamesPath, "utf8"),
+  );
+  const findings = files.flatMap((path) => [
+    ...checkFile(path, verbs),
+    ...checkWireNames(path, wireNames),
+  ]);
   for (const finding of findings) {
     console.error(`${finding.place}: ${finding.message}`);
   }
@@ -50,6 +60,23 @@
   });
 }
 
+/** Finds names of the platform's wire outside the adapter. */
+function checkWireNames(
+  path: string,
+  names: readonly string[],
+): readonly Finding[] {
+  if (path.startsWith(adapterRoot)) return [];
+  const lines = readFileSync(path, "utf8").split("\n");
+  return lines.flatMap((line, index) =>
+    names
+      .filter((name) => line.toLowerCase().includes(name.toLowerCase()))
+      .map((name) => ({
+        place: `${path}:${index + 1}`,
+        message: `"${name}" belongs to ${adapterRoot} alone`,
+      }))
+  );
+}
+
 function checkFile(
   path: string,
   verbs: ReadonlySet<string>,
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -94,6 +94,8 @@
 ): Promise<{ readonly code: number | null; readonly output: string }> {
   const isModel = command === "bash";
   const child = spawn(command, [...args], {
+    // Log lines of parts under test would hide the results.
+    env: { ...process.env, ROARR_LOG: process.env.ROARR_LOG ?? "false" },
     stdio: [
       "ignore",
       isModel ? "inherit" : "pipe",
