--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -101,7 +101,7 @@
 const seenTtlMs = 15_000;
 const maxSeenParts = 4_096;
 /** Time for which a read is told to the others, in ms: a few digests, as some get lost. */
-const tellReadsMs = 2_500;
+const tellReadsMs = 500;
 /** Failures in a row that suspend an endpoint. */
 const suspendingFailures = 2;
 const firstSuspensionMs = 700;
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -45,8 +45,8 @@
 
 /** Time of an export besides computing, in ms: links, setup and the move of the memory. */
 const exportOverheadMs = 40;
-/** Time by which a prompt computed between others' tokens delays these, for each of its ms. */
-const interferenceShare = 6;
+/** Time by which a ms of computing a prompt delays each generation that runs beside it, in ms. */
+const interferencePerRun = 0.3;
 /** Share of an engine's slots above which new generations wait. */
 const fullShare = 0.95;
 const fullWaitMs = 500;
@@ -92,7 +92,7 @@
   const direct = pickLeast(
     estimateReads(work, generating, options).map((read) => ({
       read,
-      cost: read.cost + read.ms * interferenceShare +
+      cost: read.cost + estimateInterferenceMs(read, options) +
         estimateRunMs(read.engine, options),
     })),
   );
@@ -116,6 +116,12 @@
   return direct && buildPlacement(direct.read, false, options);
 }
 
+/** Time that a prompt computed between others' tokens costs these, in ms. */
+function estimateInterferenceMs(read: Read, options: PlacementOptions): number {
+  const { calls } = options.board.getLoad(read.engine.name);
+  return read.ms * calls * interferencePerRun;
+}
+
 function buildPlacement(
   read: Read,
   exports: boolean,
