--- a/packages/core/src/request/forwarding/estimate_reads.ts
+++ b/packages/core/src/request/forwarding/estimate_reads.ts
@@ -11,7 +11,7 @@
 /** Computation of a prompt at one engine. */
 export interface Read {
   readonly engine: ListedEndpoint;
-  /** Prompt tokens that the engine has to compute. */
+  /** Prompt tokens that the engine has to compute, weighted by the context that each attends to. */
   readonly tokens: number;
   /** Time until they are computed, with what is ahead, in ms. */
   readonly ms: number;
@@ -44,6 +44,10 @@
 const readAgainWeight = 1.5;
 /** Time after which a prompt that was sent to an engine is taken to be computed, in ms. */
 const settledReadMs = 1_000;
+/** Share of late prompts that is taken to be ahead of one in time. */
+const lateShare = 0.4;
+/** Tokens in context by which each computed token takes twice as long. */
+const attentionTokens = 50_000;
 /** Shared tokens for which a copy from another engine is worth its setup. */
 const leastCopyTokens = 1_000;
 /** Time of a copy besides its bytes, in ms. */
@@ -53,31 +57,34 @@
 
 /** Estimates the computation of a prompt at each of the engines. */
 export function estimateReads(
-  work: GenerationWork,
+  call: GenerationWork,
   engines: readonly ListedEndpoint[],
   options: PlacementOptions & { readonly late: boolean },
 ): readonly Read[] {
   const { board } = options;
-  const holdings = findHoldings(work, options);
-  const home = findHome(work.parts.slice(0, -1), engines);
+  const holdings = findHoldings(call, options);
+  const home = findHome(call.parts.slice(0, -1), engines);
   const speed = options.speeds.getTokensPerMs(options.service);
+  const prompt = call.promptTokens;
   return engines.map((engine) => {
-    const unseen = countUnseen(work, engine, options);
-    const copied = unseen - (work.promptTokens - holdings.copyable);
+    const unseen = countUnseen(call, engine, options);
+    const copied = unseen - (prompt - holdings.copyable);
     const copies = copied >= leastCopyTokens;
     const tokens = copies ? unseen - copied : unseen;
     const again = Math.max(tokens - holdings.leastUnseen, 0) * readAgainWeight;
     const msPerToken = getReadFactor(engine) / speed;
     const copyMs = copies ? copySetupMs + copied / copyTokensPerMs : 0;
     const { readTokens, lateTokens } = board.getLoad(engine.name);
-    const ahead = readTokens + (options.late ? lateTokens : 0);
-    const ms = (ahead + tokens) * msPerToken + copyMs +
+    // A late prompt that has begun is not interrupted.
+    const ahead = readTokens + lateTokens * (options.late ? 1 : lateShare);
+    const work = tokens * (1 + (prompt - tokens / 2) / attentionTokens);
+    const ms = (ahead + work) * msPerToken + copyMs +
       (engine.failureDomain === options.ownDomain ? 0 : otherDomainMs);
     // Without a known holder of its parts, a prompt founds them at its home.
     const awayMs = engine.name === home ? 0 : awayFromHomeMs;
     return {
       engine,
-      tokens,
+      tokens: work,
       ms,
       cost: ms + again * msPerToken + awayMs,
       copyFrom: copies ? holdings.source : undefined,
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -23,7 +23,7 @@
   readonly engine: ListedEndpoint;
   /** Whether it exports the prompt to another one that generates. */
   readonly exports: boolean;
-  /** Prompt tokens that it has to compute. */
+  /** Prompt tokens that it has to compute, weighted by their context. */
   readonly tokens: number;
   /** Engine from which it first copies parts that it lacks. */
   readonly copyFrom?: ListedEndpoint;
