--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -105,11 +105,10 @@
       () => reading.abort(),
       answerTimeoutMs + (whole ? 0 : holdMs),
     );
-    const bounded = AbortSignal.any([signal, reading.signal]);
     try {
       return whole
-        ? await topic.fetchNewest(bounded)
-        : await topic.read(next, { waitMs: holdMs, signal: bounded });
+        ? await topic.fetchNewest(reading.signal)
+        : await topic.read(next, { waitMs: holdMs, signal: reading.signal });
     } finally {
       clearTimeout(timer);
     }
@@ -149,6 +148,9 @@
     return ms * (1 + spreadShare * (random() - 0.5));
   }
 
+  // One listener for the life of the process: joining signals for each read
+  // would leave a trace of each with the one that lives on.
+  signal.addEventListener("abort", () => reading.abort(), { once: true });
   void run();
   return {
     getNext: () => next,
--- a/packages/core/src/process/fleet/keep_roles.steps.ts
+++ b/packages/core/src/process/fleet/keep_roles.steps.ts
@@ -133,8 +133,7 @@
       board: createEndpointBoard({ logEvent: () => undefined }),
       listServices: () => [{
         name: service,
-        maxConnections: 100,
-        engines: { slots: 64, cacheTokens: 1, exportTtlMs: 1, roleChangeMs },
+        engines: { exportTtlMs: 1, roleChangeMs },
       }],
       isFirst: () => this.first,
       isListFresh: () => this.fresh,
@@ -186,7 +185,6 @@
   "with a share of {float} the plan is {string}",
   function (this: RolesWorld, prefillShare: number, expected: string): void {
     const plan = planRoles({
-      service,
       engines: this.engines,
       changing: [],
       prefillShare,
--- a/packages/core/src/process/fleet/keep_roles.ts
+++ b/packages/core/src/process/fleet/keep_roles.ts
@@ -81,7 +81,6 @@
   async function keepPool(service: RoutedService): Promise<void> {
     const listed = options.endpoints.listTaking(service.name);
     const changes = planRoles({
-      service: service.name,
       engines: listed.filter(({ name }) => !changing.has(name)),
       changing: [...changing.values()].filter(({ endpoint }) =>
         endpoint.service === service.name
--- a/packages/core/src/process/fleet/plan_roles.ts
+++ b/packages/core/src/process/fleet/plan_roles.ts
@@ -1,9 +1,5 @@
 /** Decides how many engines of a pool only compute prompts, and which change. */
-import {
-  EngineRole,
-  type ListedEndpoint,
-  type ServiceName,
-} from "../../types/index.ts";
+import { EngineRole, type ListedEndpoint } from "../../types/index.ts";
 import type { EndpointBoard } from "./endpoint_board.ts";
 
 /** A role change that is wanted. */
@@ -14,7 +10,6 @@
 
 /** What a plan is made from. */
 export interface RolePlanInput {
-  readonly service: ServiceName;
   /** Engines of the pool that take work and are in no change. */
   readonly engines: readonly ListedEndpoint[];
   /** Engines in a change, by the role that they change to. */
--- a/packages/core/src/request/forwarding/estimate_reads.ts
+++ b/packages/core/src/request/forwarding/estimate_reads.ts
@@ -15,7 +15,9 @@
   readonly tokens: number;
   /** Time until they are computed, with what is ahead, in ms. */
   readonly ms: number;
-  /** The same with what it costs the calls of others. */
+  /** The part of that time that the call waits for others, in ms. */
+  readonly aheadMs: number;
+  /** The whole time with what it costs the calls of others, in ms. */
   readonly cost: number;
   /** Engine from which it first copies parts that it lacks. */
   readonly copyFrom?: ListedEndpoint;
@@ -86,6 +88,7 @@
       engine,
       tokens: work,
       ms,
+      aheadMs: ahead * msPerToken,
       cost: ms + again * msPerToken + awayMs,
       copyFrom: copies ? holdings.source : undefined,
     };
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -87,10 +87,7 @@
     }],
     services: [{
       name: service,
-      maxConnections: 100,
       engines: {
-        slots: 64,
-        cacheTokens: 1,
         exportTtlMs: 5_000,
         roleChangeMs: 1,
       },
@@ -112,7 +109,6 @@
     speeds: createReadSpeeds(),
     budget: {
       noteCall: () => undefined,
-      noteRepeat: () => undefined,
       allowRepeat: () => true,
     },
     isChanging: () => false,
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -139,6 +139,7 @@
   Scenario: A stream that cannot begin in time goes behind the others
     Given a "stream" route over "p1, d1" with 1 endpoints for a call
     And "p1" has 40000 prompt tokens ahead
+    And "d1" has 6000 prompt tokens ahead
     And "d1" answers "events 1-2"
     When a stream with 9000 prompt tokens is forwarded
     Then the call was sent with rank 5
@@ -151,3 +152,10 @@
     Then the caller gets status 503
     And the caller is told when to come back
     And the call has reached ""
+
+  Scenario: A large prompt is not refused for its size while little is ahead of it
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "d1" answers "events 1-2"
+    When a stream with 60000 prompt tokens is forwarded
+    Then the caller gets events 1 to 2 and the end
+    And the call was sent with rank 5
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -29,6 +29,8 @@
   readonly copyFrom?: ListedEndpoint;
   /** Expected time until the generation can begin, in ms. */
   readonly readMs: number;
+  /** The part of that time that the call waits for others, in ms. */
+  readonly aheadMs: number;
   /** Whether the goal is out of reach, so that calls in time go first. */
   readonly late: boolean;
 }
@@ -133,6 +135,7 @@
     tokens: read.tokens,
     copyFrom: read.copyFrom,
     readMs: read.ms,
+    aheadMs: read.aheadMs,
     late,
   };
 }
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -38,7 +38,9 @@
 const patienceMs = 2_000;
 const patienceGoals = 4;
 /** Share of that patience which an expected first event may fill. */
-const usablePatience = 0.6;
+const usablePatience = 0.95;
+/** Share of it which waiting for others may fill, so that large prompts are not refused for their size. */
+const waitingPatience = 0.5;
 
 /** Where the next run begins. */
 interface Start {
@@ -114,13 +116,18 @@
   placement: Placement,
 ): ForwardEnd | undefined {
   const patience = Math.max(patienceMs, state.route.goalMs * patienceGoals);
-  const allowedMs = Math.min(patience * usablePatience, state.route.timeoutMs);
-  const expectedMs = getAgeMs(state) + placement.readMs;
-  if (expectedMs <= allowedMs || state.runs > 0) return undefined;
+  const allowedMs = Math.min(patience, state.route.timeoutMs);
+  const waitMs = getAgeMs(state) + placement.aheadMs;
+  const beginMs = getAgeMs(state) + placement.readMs;
+  const excessMs = Math.max(
+    waitMs - allowedMs * waitingPatience,
+    beginMs - allowedMs * usablePatience,
+  );
+  if (excessMs <= 0 || state.runs > 0) return undefined;
   return refuseUnrun(
     RefusalReason.Overloaded,
     "engines are too busy to begin in time",
-    { retryAfterMs: Math.max(fullRetryMs, expectedMs - allowedMs) },
+    { retryAfterMs: Math.max(fullRetryMs, excessMs) },
   );
 }
 
--- a/packages/core/src/request/retries/shared_budget.ts
+++ b/packages/core/src/request/retries/shared_budget.ts
@@ -20,8 +20,6 @@
   readonly noteCall: (service: ServiceName) => void;
   /** Spends one repeat, or says no. */
   readonly allowRepeat: (service: ServiceName) => boolean;
-  /** Counts a repeat that was sent without asking. */
-  readonly noteRepeat: (service: ServiceName) => void;
 }
 
 /** Part of the budget that is spent; the rest covers instances that are not known. */
@@ -64,8 +62,6 @@
   return {
     noteCall: (service) => void getUsage(service).calls.push(performance.now()),
     allowRepeat,
-    noteRepeat: (service) =>
-      void getUsage(service).repeats.push(performance.now()),
   };
 }
 
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -45,9 +45,6 @@
 
 /** What the configuration says of a model service's engines. */
 export interface EnginePool {
-  /** Requests that an engine runs at once. */
-  readonly slots: number;
-  readonly cacheTokens: number;
   /** Time for which an engine keeps an exported prompt, in ms. */
   readonly exportTtlMs: number;
   /** Time for which a role change takes an engine away, in ms. */
@@ -57,8 +54,6 @@
 /** One service of the configuration. */
 export interface RoutedService {
   readonly name: ServiceName;
-  /** Connections that one endpoint accepts from all instances together. */
-  readonly maxConnections: number;
   /** Present where the endpoints are model engines. */
   readonly engines?: EnginePool;
 }
@@ -153,13 +148,6 @@
   readonly resumeAfter?: string;
 }
 
-/** Load that an endpoint sends with its answers. */
-export interface AnswerLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** Head of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -173,7 +161,6 @@
   readonly genuine: boolean;
   /** Whether the body is in an encoding that nobody asked for. */
   readonly encoded: boolean;
-  readonly load?: AnswerLoad;
 }
 
 /** State of an engine as it reports it, some hundred ms late. */
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -108,7 +108,7 @@
   settings: EntrySettings,
   options: EntryOptions,
 ): Promise<Running> {
-  const { platform, logEvent } = options;
+  const { platform } = options;
   const ending = new AbortController();
   const channels = createChannels();
   const life: Life = { stopping: false, ready: false };
@@ -122,6 +122,10 @@
       droppedLogLines: options.countDroppedLines(),
     }),
   });
+  const logEvent: LogEvent = (event, fields) => {
+    metrics.noteEvent(event.number);
+    options.logEvent(event, fields);
+  };
   const topics = platform.openTopics({
     address: settings.store,
     channels,
@@ -156,7 +160,7 @@
   });
   return {
     settings,
-    options,
+    options: { ...options, logEvent },
     channels,
     topics,
     fleet,
