Refuse calls for lack of endpoints in one place

The same refusal stood in run_plain.ts and run_generation.ts; a client's flag and a variable were never read. Tests pass unchanged; a stream that no engine takes is now told 600 ms in place of 700, a plain call 600 in place of 500.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -5,14 +5,21 @@
   type ForwardCall,
   type ForwardRoute,
   type ListedEndpoint,
+  RefusalReason,
   RemoteError,
   RemoteFailure,
   type SendFacts,
   type ServiceName,
 } from "../../types/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
+import { refuseUnrun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
-import type { CallerAnswer, EndpointAnswer, ForwardParts } from "./types.ts";
+import type {
+  CallerAnswer,
+  EndpointAnswer,
+  ForwardEnd,
+  ForwardParts,
+} from "./types.ts";
 
 /** One call on its way. */
 export interface CallState {
@@ -46,6 +53,8 @@
 
 const success = 200;
 const redirect = 300;
+/** When to come back where no endpoint is listed, in ms: about half a heartbeat of theirs. */
+const noEndpointRetryMs = 600;
 /** Another process has the address, or the engine has another role. */
 const misdirected = 421;
 
@@ -109,6 +118,21 @@
   return head.encoded ? "answer is in an encoding nobody asked for" : undefined;
 }
 
+/** Refuses a call for which no endpoint is left; it comes back after `fullRetryMs` where all were full. */
+export function refuseForRoom(
+  state: CallState,
+  fullRetryMs: number,
+): ForwardEnd {
+  const taking = state.parts.endpoints.listTaking(state.service).length;
+  return taking === 0
+    ? refuseUnrun(RefusalReason.NoEndpoint, "no endpoint takes work", {
+      retryAfterMs: noEndpointRetryMs,
+    })
+    : refuseUnrun(RefusalReason.Overloaded, "all endpoints are full", {
+      retryAfterMs: fullRetryMs,
+    });
+}
+
 /** Reads the whole body of an answer. */
 export async function readBody(answer: EndpointAnswer): Promise<Buffer> {
   const chunks: Buffer[] = [];
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -48,7 +48,7 @@
 /** Time of an export besides computing, in ms: links, setup and the move of the memory. */
 const exportOverheadMs = 40;
 /** Time by which a ms of computing a prompt delays each generation that runs beside it, in ms. */
-const interferencePerRun = 0.3;
+const delayPerRun = 0.3;
 /** Share of an engine's slots above which new generations wait. */
 const fullShare = 0.95;
 const fullWaitMs = 500;
@@ -94,7 +94,7 @@
   const direct = pickLeast(
     estimateReads(work, generating, options).map((read) => ({
       read,
-      cost: read.cost + estimateInterferenceMs(read, options) +
+      cost: read.cost + estimateDelayMs(read, options) +
         estimateRunMs(read.engine, options),
     })),
   );
@@ -119,9 +119,9 @@
 }
 
 /** Time that a prompt computed between others' tokens costs these, in ms. */
-function estimateInterferenceMs(read: Read, options: PlacementOptions): number {
+function estimateDelayMs(read: Read, options: PlacementOptions): number {
   const { calls } = options.board.getLoad(read.engine.name);
-  return read.ms * calls * interferencePerRun;
+  return read.ms * calls * delayPerRun;
 }
 
 function buildPlacement(
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -14,6 +14,7 @@
   mayRunAgain,
   noteFailure,
   readBody,
+  refuseForRoom,
   sendCall,
 } from "./attempt.ts";
 import { buildLost, buildTimedOut, refuseUnrun } from "./ends.ts";
@@ -32,7 +33,6 @@
 import type { ForwardEnd } from "./types.ts";
 
 const unavailable = 503;
-const noEngineRetryMs = 700;
 const fullRetryMs = 400;
 /** Callers give up on a stream without events after two seconds, or four times the goal. */
 const patienceMs = 2_000;
@@ -84,7 +84,7 @@
     });
   }
   if (state.signal.aborted) return buildTimedOut({ runs: state.runs });
-  return lost ?? refuseUnplaced(state);
+  return lost ?? refuseForRoom(state, fullRetryMs);
 }
 
 /** Has the prompt computed where it is to be exported, and chooses the engine that generates. */
@@ -131,17 +131,6 @@
   );
 }
 
-function refuseUnplaced(state: StreamState): ForwardEnd {
-  const taking = state.parts.endpoints.listTaking(state.service).length;
-  return taking === 0
-    ? refuseUnrun(RefusalReason.NoEndpoint, "no engine takes work", {
-      retryAfterMs: noEngineRetryMs,
-    })
-    : refuseUnrun(RefusalReason.Overloaded, "no engine has room", {
-      retryAfterMs: fullRetryMs,
-    });
-}
-
 /**
  * Starts the generation; undefined where the engine certainly did not run the
  * call. A prompt that was exported stays for the next engine unless the engine
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -4,7 +4,6 @@
   Effect,
   type ListedEndpoint,
   Outcome,
-  RefusalReason,
   RemoteError,
   RemoteFailure,
 } from "../../types/index.ts";
@@ -19,10 +18,11 @@
   mayRunAgain,
   noteFailure,
   readBody,
+  refuseForRoom,
   sendCall,
 } from "./attempt.ts";
 import { chooseEndpoint } from "./choose_endpoint.ts";
-import { buildLost, buildTimedOut, refuseUnrun } from "./ends.ts";
+import { buildLost, buildTimedOut } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import type { EndpointAnswer, ForwardEnd } from "./types.ts";
 
@@ -36,7 +36,6 @@
 const firstServerError = 500;
 /** When to come back where all endpoints are full, in ms: a few of their calls have ended by then. */
 const fullRetryMs = 250;
-const noEndpointRetryMs = 500;
 /** Share of the goal after which an unanswered call that may repeat is tried elsewhere. */
 const lateGoalShare = 1.5;
 /** Idle time after which a connection is not trusted with a call that must not repeat, in ms. */
@@ -71,18 +70,7 @@
     return answerWhole(state, fallback);
   }
   if (state.signal.aborted) return buildTimedOut({ runs: state.runs });
-  return lost ?? refuseFull(state);
-}
-
-function refuseFull(state: CallState): ForwardEnd {
-  const taking = state.parts.endpoints.listTaking(state.service).length;
-  return taking === 0
-    ? refuseUnrun(RefusalReason.NoEndpoint, "no endpoint takes work", {
-      retryAfterMs: noEndpointRetryMs,
-    })
-    : refuseUnrun(RefusalReason.Overloaded, "all endpoints are full", {
-      retryAfterMs: fullRetryMs,
-    });
+  return lost ?? refuseForRoom(state, fullRetryMs);
 }
 
 async function callEndpoint(
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -62,8 +62,6 @@
   readonly address: string;
   readonly client: UndiciClient;
   socket?: Socket;
-  /** Whether bytes of a call may have been sent on it. */
-  used: boolean;
   /** Whether the connection ended by a reset. */
   broken: boolean;
   idleSinceMs: number;
@@ -89,7 +87,6 @@
         connect: (_options, callback) =>
           openSocket(channel, callback as SocketCallback),
       }),
-      used: false,
       broken: false,
       idleSinceMs: performance.now(),
     };
@@ -193,7 +190,6 @@
 ): Promise<ChannelAnswer> {
   return new Promise((resolve, reject) => {
     const body = createBody(channel);
-    let controller: Dispatcher.DispatchController | undefined;
     let sent = false;
     let headed = false;
     let ended = false;
@@ -235,11 +231,9 @@
       body: request.body && request.body.length > 0 ? request.body : null,
     }, {
       onRequestStart(started): void {
-        controller = started;
         body.controller = started;
         if (ended) return started.abort(new Error("call was given up"));
         sent = true;
-        channel.used = true;
       },
       onResponseStart(started, status): void {
         if (ended) return;
@@ -262,7 +256,6 @@
       },
       onResponseError: (_started, error) => breakOff(convert(error)),
     });
-    void controller;
   });
 }
 
