--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -153,6 +153,14 @@
     And the caller is told when to come back
     And the call has reached ""
 
+  Scenario: A stream keeps away from an engine with a late prompt
+    Given a "stream" route over "p1, p2, d1" with 1 endpoints for a call
+    And "p1" has 40000 late prompt tokens ahead
+    And "d1" has 6000 prompt tokens ahead
+    And "d1" answers "events 1-2"
+    When a stream with 4000 prompt tokens is forwarded
+    Then the call has reached "p2, d1"
+
   Scenario: A large prompt is not refused for its size while little is ahead of it
     Given a "stream" route over "p1, d1" with 1 endpoints for a call
     And "d1" answers "events 1-2"
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -82,6 +82,13 @@
   },
 );
 
+Given(
+  "{string} has {int} late prompt tokens ahead",
+  function (this: ForwardWorld, name: string, tokens: number): void {
+    this.board.openCall(name, { tokens, parts: [], late: true });
+  },
+);
+
 When("a call is forwarded", async function (this: ForwardWorld): Promise<void> {
   startCall(this, buildCall());
   await waitForEnd(this);
