Read the store once a failure domain, and pass digests on across domains

Cause: every instance read the list of endpoints 1.5 times a second and sent each digest to every other one, also across domains. Change: the first instance of a domain whose reads succeed reads the store; the others go by the age of its news and read for themselves when it is stale. Digests cross to another domain once and are passed on there. Engines tell which parts they have computed.

--- a/packages/core/src/process/fleet/endpoint_board.feature
+++ b/packages/core/src/process/fleet/endpoint_board.feature
@@ -76,3 +76,12 @@
     Then this instance tells the others of the parts "shared" at "e1"
     When 3000 ms pass for the board
     Then this instance tells the others of the parts "" at "e1"
+
+  Scenario: Parts can be copied once they are computed, and the others learn it
+    When a call with 500 tokens opens at "e1"
+    Then "e1" holds 0 tokens that can be copied
+    When the call has its prompt computed
+    Then "e1" holds 500 tokens that can be copied
+    And this instance tells the others that "e1" has computed "shared"
+    When instance "b" tells that "e2" has computed the prompt
+    Then "e2" holds 500 tokens that can be copied
--- a/packages/core/src/process/fleet/endpoint_board.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_board.steps.ts
@@ -19,7 +19,7 @@
 const ends: Readonly<Record<string, CallEnd>> = Object.fromEntries(
   Object.values(CallEnd).map((end) => [end, end]),
 );
-const noReports = { loads: {}, reads: {}, down: {} };
+const noReports = { loads: {}, reads: { sent: {}, computed: {} }, down: {} };
 
 After(function (this: BoardWorld): void {
   this.boardClock?.uninstall();
@@ -158,16 +158,35 @@
   "{string} holds {int} tokens that can be copied",
   function (this: BoardWorld, endpoint: string, tokens: number): void {
     const settled = this.board.countSeenTokens(endpoint, buildParts(500), {
-      settledMs: 1_000,
+      computed: true,
     });
     assert.equal(settled, tokens);
   },
 );
 
+Then(
+  "this instance tells the others that {string} has computed {string}",
+  function (this: BoardWorld, endpoint: string, parts: string): void {
+    const told = this.board.listReads().computed[endpoint] ?? [];
+    assert.equal(told.join(", "), parts);
+  },
+);
+
+When(
+  "instance {string} tells that {string} has computed the prompt",
+  function (this: BoardWorld, instance: string, endpoint: string): void {
+    const ids = buildParts(500).map(({ id }) => id);
+    this.board.takeReports(instance, {
+      ...noReports,
+      reads: { sent: {}, computed: { [endpoint]: ids } },
+    });
+  },
+);
+
 Then(
   "this instance tells the others of the parts {string} at {string}",
   function (this: BoardWorld, parts: string, endpoint: string): void {
-    const told = this.board.listReads()[endpoint] ?? [];
+    const told = this.board.listReads().sent[endpoint] ?? [];
     assert.equal(told.join(", "), parts);
   },
 );
--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -46,9 +46,17 @@
 /** Work that one instance has at endpoints, as it tells the others. */
 export type LoadReports = Readonly<Record<EndpointName, EndpointLoad>>;
 
-/** Parts of prompts that were sent to engines of late, by engine. */
+/** Parts of prompts by engine. */
 export type ReadNotes = Readonly<Record<EndpointName, readonly string[]>>;
 
+/** What became of parts of prompts of late. */
+export interface ReadReports {
+  /** Parts that were sent to engines. */
+  readonly sent: ReadNotes;
+  /** Parts that engines have computed. */
+  readonly computed: ReadNotes;
+}
+
 /** A call that is open at an endpoint. */
 export interface OpenCall {
   /** The prompt is computed: the first answer bytes came. */
@@ -70,20 +78,20 @@
     endpoint: EndpointName,
     parts: readonly PromptPart[],
     options?: {
-      /** Time since the first of the reads, in ms, so that it has ended. */
-      readonly settledMs?: number;
+      /** Counts only parts that the engine is known to have computed, or must have by now. */
+      readonly computed?: boolean;
     },
   ) => number;
   /** Own work, for the other instances. */
   readonly getReports: () => LoadReports;
-  /** Parts that this instance has sent to engines in the last seconds. */
-  readonly listReads: () => ReadNotes;
+  /** Parts of this instance's prompts that engines were sent, or have computed, just now. */
+  readonly listReads: () => ReadReports;
   /** Takes another instance's work; it counts until it is `maxReportAgeMs` old. */
   readonly takeReports: (
     instance: string,
     reports: {
       readonly loads: LoadReports;
-      readonly reads: ReadNotes;
+      readonly reads: ReadReports;
       readonly down: DownNotes;
     },
   ) => void;
@@ -102,15 +110,18 @@
 const maxSeenParts = 4_096;
 /** Time for which a read is told to the others, in ms: a few digests, as some get lost. */
 const tellReadsMs = 500;
+/** Time after which a prompt that was sent to an engine is taken to be computed, in ms. */
+const settledReadMs = 1_000;
 /** Failures in a row that suspend an endpoint. */
 const suspendingFailures = 2;
 const firstSuspensionMs = 700;
 const longestSuspensionMs = 4_000;
 
-/** When a part was sent to an engine, first and last. */
+/** When a part was sent to an engine, and whether it is known to be computed. */
 interface SeenPart {
   readonly firstMs: number;
   readonly lastMs: number;
+  readonly computed: boolean;
 }
 
 interface OwnEntry {
@@ -129,7 +140,8 @@
 interface OwnRead {
   readonly endpoint: EndpointName;
   readonly ids: readonly string[];
-  readonly sentMs: number;
+  readonly computed: boolean;
+  readonly notedMs: number;
 }
 
 interface PeerEntry {
@@ -207,25 +219,28 @@
       let open = true;
       entry.calls += 1;
       entry[kind] += unread;
-      const noteParts = (): void => {
+      let read = work === undefined;
+      const noteParts = (computed: boolean): void => {
         const ids = work?.parts.map(({ id }) => id) ?? [];
-        noteSeen(entry, ids);
+        noteSeen(entry, ids, { computed });
         if (ids.length < 2) return;
         ownReads.push({
           endpoint,
           ids: ids.slice(0, -1),
-          sentMs: performance.now(),
+          computed,
+          notedMs: performance.now(),
         });
       };
       // Prompts in time queue behind each other, so their parts count from now
       // on; a late one may wait for long.
-      if (!work?.late) noteParts();
+      if (!work?.late) noteParts(false);
       tellListeners();
       const noteRead = (): void => {
-        if (unread === 0) return;
+        if (read) return;
+        read = true;
         entry[kind] -= unread;
         unread = 0;
-        if (work?.late) noteParts();
+        noteParts(true);
         tellListeners();
       };
       return {
@@ -258,7 +273,7 @@
     },
     isSuspended: (endpoint) =>
       (own.get(endpoint)?.suspendedUntilMs ?? -Infinity) > performance.now(),
-    countSeenTokens(endpoint, parts, { settledMs = 0 } = {}): number {
+    countSeenTokens(endpoint, parts, { computed = false } = {}): number {
       const seen = own.get(endpoint)?.seen;
       if (!seen) return 0;
       const nowMs = performance.now();
@@ -266,7 +281,8 @@
       for (const { id, tokens: size } of parts) {
         const part = seen.get(id);
         if (!part || nowMs - part.lastMs > seenTtlMs) return tokens;
-        if (nowMs - part.firstMs < settledMs) return tokens;
+        const settled = part.computed || nowMs - part.firstMs >= settledReadMs;
+        if (computed && !settled) return tokens;
         tokens += size;
       }
       return tokens;
@@ -280,14 +296,13 @@
         ]),
       );
     },
-    listReads(): ReadNotes {
+    listReads(): ReadReports {
       const oldestMs = performance.now() - tellReadsMs;
-      ownReads = ownReads.filter(({ sentMs }) => sentMs >= oldestMs);
-      const notes: Record<EndpointName, string[]> = {};
-      for (const { endpoint, ids } of ownReads) {
-        notes[endpoint] = [...new Set([...(notes[endpoint] ?? []), ...ids])];
-      }
-      return notes;
+      ownReads = ownReads.filter(({ notedMs }) => notedMs >= oldestMs);
+      return {
+        sent: sortReads(ownReads.filter(({ computed }) => !computed)),
+        computed: sortReads(ownReads.filter(({ computed }) => computed)),
+      };
     },
     listDown(): DownNotes {
       const nowMs = performance.now();
@@ -300,8 +315,11 @@
     takeReports(instance, { loads, reads, down }): void {
       const nowMs = performance.now();
       peers.set(instance, { takenMs: nowMs, reports: loads });
-      for (const [endpoint, ids] of Object.entries(reads)) {
-        noteSeen(getEntry(endpoint), ids);
+      for (const [endpoint, ids] of Object.entries(reads.sent)) {
+        noteSeen(getEntry(endpoint), ids, { computed: false });
+      }
+      for (const [endpoint, ids] of Object.entries(reads.computed)) {
+        noteSeen(getEntry(endpoint), ids, { computed: true });
       }
       for (const [endpoint, leftMs] of Object.entries(down)) {
         const entry = getEntry(endpoint);
@@ -328,7 +346,19 @@
   };
 }
 
-function noteSeen(entry: OwnEntry, ids: readonly string[]): void {
+function sortReads(reads: readonly OwnRead[]): ReadNotes {
+  const notes: Record<EndpointName, string[]> = {};
+  for (const { endpoint, ids } of reads) {
+    notes[endpoint] = [...new Set([...(notes[endpoint] ?? []), ...ids])];
+  }
+  return notes;
+}
+
+function noteSeen(
+  entry: OwnEntry,
+  ids: readonly string[],
+  { computed }: { readonly computed: boolean },
+): void {
   const nowMs = performance.now();
   for (const id of ids) {
     const known = entry.seen.get(id);
@@ -337,6 +367,7 @@
     entry.seen.set(id, {
       firstMs: kept ? known.firstMs : nowMs,
       lastMs: nowMs,
+      computed: computed || (kept === true && known.computed),
     });
   }
   for (const oldest of entry.seen.keys()) {
--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -41,3 +41,25 @@
     When the store shows "e1 restarted"
     And the store removes "e2"
     Then the endpoints whose process ended are "e1, e2"
+
+  Scenario: Lapsed endpoints of another instance keep their place only where this one saw the outage
+    When another instance knows "e1, e2, e3" up to offset 90, of which "e1" has lapsed
+    Then the endpoints that take work are "e2, e3"
+    When the store comes back after an outage
+    And another instance knows "e2, e3" up to offset 95, of which "e2" has lapsed
+    Then the endpoints that take work are "e2, e3"
+    When 3000 ms pass for the list
+    Then the endpoints that take work are "e3"
+
+  Scenario: Only what matters counts as a change
+    When the store shows "e1"
+    Then the list has changed up to offset 3 and is read up to offset 4
+    When the store shows "e1 leaving"
+    Then the list has changed up to offset 5 and is read up to offset 5
+    When another instance has read on to offset 9
+    Then the list has changed up to offset 5 and is read up to offset 9
+
+  Scenario: An endpoint that keeps its place for now counts as a change
+    When the store comes back after an outage
+    And the store removes "e1"
+    Then the list has changed up to offset 4 and is read up to offset 4
--- a/packages/core/src/process/fleet/endpoint_list.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_list.steps.ts
@@ -59,6 +59,18 @@
   applyRecords(world, records, options);
 }
 
+function mergeEndpoints(
+  world: ListWorld,
+  text: string,
+  { next, lapsed }: {
+    readonly next: number;
+    readonly lapsed: readonly string[];
+  },
+): void {
+  const endpoints = parseEndpoints(text);
+  world.list.merge({ next, changed: next, endpoints, lapsed });
+}
+
 Given(
   "a list of endpoints with {string} from the store",
   function (this: ListWorld, names: string): void {
@@ -113,7 +125,37 @@
 When(
   "another instance knows {string} up to offset {int}",
   function (this: ListWorld, text: string, next: number): void {
-    this.list.merge({ next, endpoints: parseEndpoints(text) });
+    mergeEndpoints(this, text, { next, lapsed: [] });
+  },
+);
+
+When(
+  "another instance knows {string} up to offset {int}, of which {string} has lapsed",
+  function (
+    this: ListWorld,
+    text: string,
+    next: number,
+    lapsed: string,
+  ): void {
+    mergeEndpoints(this, text, { next, lapsed: [lapsed] });
+  },
+);
+
+When(
+  "another instance has read on to offset {int}",
+  function (this: ListWorld, next: number): void {
+    this.list.advanceTo(next);
+  },
+);
+
+Then(
+  "the list has changed up to offset {int} and is read up to offset {int}",
+  function (this: ListWorld, changed: number, next: number): void {
+    const snapshot = this.list.getSnapshot();
+    assert.deepEqual(
+      { changed: snapshot.changed, next: snapshot.next },
+      { changed, next },
+    );
   },
 );
 
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -15,7 +15,11 @@
 /** The list with the offset that it stands for. */
 export interface EndpointSnapshot {
   readonly next: number;
+  /** Offset up to which the list has to be read to hold its last change that matters. */
+  readonly changed: number;
   readonly endpoints: readonly ListedEndpoint[];
+  /** Endpoints that lapsed while the store was away and still have time to return. */
+  readonly lapsed: readonly EndpointName[];
 }
 
 /** Listed endpoints. */
@@ -33,6 +37,8 @@
   }) => void;
   /** Takes another instance's list if it is newer; tells whether it was. */
   readonly merge: (snapshot: EndpointSnapshot) => boolean;
+  /** Notes that nothing that matters has changed up to an offset. */
+  readonly advanceTo: (next: number) => void;
   readonly getSnapshot: () => EndpointSnapshot;
 }
 
@@ -62,10 +68,13 @@
   const log = options.logEvent ?? logEvent;
   const entries = new Map<EndpointName, Entry>();
   let next = 0;
+  let changed = 0;
+  let hasChanged = false;
 
   function setEndpoint(endpoint: ListedEndpoint): void {
     const known = entries.get(endpoint.name);
     entries.set(endpoint.name, { endpoint });
+    if (!known || !isSame(known.endpoint, endpoint)) hasChanged = true;
     if (known && isRestart(known.endpoint, endpoint)) {
       options.onReplaced?.(known.endpoint);
     }
@@ -83,6 +92,8 @@
     const steadyMs = options.getSteadyMs();
     if (steadyMs < returnTimeMs && !known.endpoint.leaving) {
       known.goneAtMs = performance.now() + returnTimeMs - steadyMs;
+      // Others may know better whether the store was away.
+      hasChanged = true;
       log(fleetEvents.endpointHeldOver, describe(known.endpoint, next));
       return;
     }
@@ -91,6 +102,7 @@
 
   function removeGone(endpoint: ListedEndpoint): void {
     entries.delete(endpoint.name);
+    hasChanged = true;
     log(fleetEvents.endpointGone, describe(endpoint, next));
     options.onReplaced?.(endpoint);
   }
@@ -130,21 +142,47 @@
       }
       next = Math.max(next, page.next);
       removeLapsed();
+      // Told with the offset of a page, so that whoever is behind it notices.
+      if (hasChanged) changed = next;
+      hasChanged = false;
     },
     merge(snapshot): boolean {
       if (snapshot.next <= next) return false;
       next = snapshot.next;
+      changed = snapshot.changed;
+      const lapsed = new Set(snapshot.lapsed);
       const listed = new Set(snapshot.endpoints.map(({ name }) => name));
+      for (const endpoint of snapshot.endpoints) {
+        if (!lapsed.has(endpoint.name)) setEndpoint(endpoint);
+      }
       for (const { endpoint } of [...entries.values()]) {
         if (!listed.has(endpoint.name)) removeGone(endpoint);
+        // Whether the store was away is judged by what this instance has seen.
+        if (lapsed.has(endpoint.name)) removeEndpoint(endpoint.name);
       }
-      for (const endpoint of snapshot.endpoints) setEndpoint(endpoint);
+      hasChanged = false;
       return true;
     },
-    getSnapshot: () => ({ next, endpoints: listAll() }),
+    advanceTo(offset): void {
+      next = Math.max(next, offset);
+    },
+    getSnapshot: () => ({
+      next,
+      changed,
+      endpoints: listAll(),
+      lapsed: [...entries.values()]
+        .filter(({ goneAtMs }) => goneAtMs !== undefined)
+        .map(({ endpoint }) => endpoint.name),
+    }),
   };
 }
 
+function isSame(known: ListedEndpoint, now: ListedEndpoint): boolean {
+  return !isRestart(known, now) && known.role === now.role &&
+    known.leaving === now.leaving && known.service === now.service &&
+    known.failureDomain === now.failureDomain && known.slots === now.slots;
+}
+
 function isRestart(known: ListedEndpoint, now: ListedEndpoint): boolean {
   return known.startedAtMs !== now.startedAtMs ||
     known.address !== now.address;
--- a/packages/core/src/process/fleet/events.ts
+++ b/packages/core/src/process/fleet/events.ts
@@ -109,4 +109,14 @@
     severity: Severity.Warning,
     message: "order to an engine failed; it may still be carried out",
   },
+  readerBegan: {
+    number: 821,
+    severity: Severity.Info,
+    message: "instance reads the store itself",
+  },
+  readerEnded: {
+    number: 822,
+    severity: Severity.Info,
+    message: "instance goes by what others read in the store",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/fleet/follow_topic.feature
+++ b/packages/core/src/process/fleet/follow_topic.feature
@@ -51,3 +51,45 @@
     And another instance has read up to offset 2
     And 500 ms pass for the topic
     Then the records handed on are "a, c"
+
+  Scenario: Reads that are not needed are not made
+    Given a topic with the records "a" that is followed every 100 ms
+    When 50 ms pass for the topic
+    And reads of the topic are not needed
+    And the records "b" are appended
+    And 2000 ms pass for the topic
+    Then the records handed on are "a"
+    And what is known of the topic is between 1900 and 2100 ms old
+    When another instance has read up to offset 1, 300 ms ago
+    Then what is known of the topic is between 300 and 310 ms old
+    When reads of the topic are needed
+    And 200 ms pass for the topic
+    Then the records handed on are "a, b"
+
+  Scenario: What another instance knew before makes nothing newer
+    Given a topic with the records "a, b" that is followed every 1000 ms
+    When 900 ms pass for the topic
+    And another instance has read up to offset 1, 10 ms ago
+    Then what is known of the topic is between 880 and 900 ms old
+
+  Scenario: The time since an outage runs from the first news, whoever read it
+    Given a topic with the records "a" that is followed every 100 ms
+    When 50 ms pass for the topic
+    And the store of the topic fails for 4000 ms
+    And 3000 ms pass for the topic
+    And another instance has read up to offset 1, 10 ms ago
+    And 1000 ms pass for the topic
+    And another instance has read up to offset 1, 10 ms ago
+    And 1000 ms pass for the topic
+    Then the topic has been steady for 2000 ms
+
+  Scenario: A failed read that others make good is no outage
+    Given a topic with the records "a" that is followed every 100 ms
+    When 50 ms pass for the topic
+    And the store of the topic fails for 2000 ms
+    And 1000 ms pass for the topic
+    And another instance has read up to offset 1, 10 ms ago
+    And 1000 ms pass for the topic
+    And another instance has read up to offset 1, 10 ms ago
+    And 1000 ms pass for the topic
+    Then the topic has been steady for Infinity ms
--- a/packages/core/src/process/fleet/follow_topic.steps.ts
+++ b/packages/core/src/process/fleet/follow_topic.steps.ts
@@ -22,6 +22,7 @@
   silentUntilMs: number;
   handedOn: string[];
   topicEvents: number[];
+  needed: boolean;
   followed: FollowedTopic;
   stopTopic: AbortController;
 }
@@ -100,6 +101,7 @@
   world.silentUntilMs = -Infinity;
   world.handedOn = [];
   world.topicEvents = [];
+  world.needed = true;
   world.stopTopic = new AbortController();
   appendNames(world, names);
   // The signal's own time-outs run on the real clock, which stands for a test.
@@ -109,6 +111,7 @@
     holdMs,
     onPage: ({ records }) =>
       void world.handedOn.push(...records.map(({ key }) => key)),
+    isNeeded: () => world.needed,
     signal: world.stopTopic.signal,
     random: () => 0.5,
     logEvent: ({ number }) => world.topicEvents.push(number),
@@ -165,6 +168,29 @@
   },
 );
 
+When(
+  "another instance has read up to offset {int}, {int} ms ago",
+  function (this: TopicWorld, next: number, ageMs: number): void {
+    this.followed.advanceTo(next, ageMs);
+  },
+);
+
+When("reads of the topic are not needed", function (this: TopicWorld): void {
+  this.needed = false;
+});
+
+When("reads of the topic are needed", function (this: TopicWorld): void {
+  this.needed = true;
+});
+
+Then(
+  "what is known of the topic is between {int} and {int} ms old",
+  function (this: TopicWorld, leastMs: number, mostMs: number): void {
+    const ageMs = this.followed.getAgeMs();
+    assert.ok(ageMs >= leastMs && ageMs <= mostMs, `${ageMs} ms`);
+  },
+);
+
 When(
   "{int} ms pass for the topic",
   async function (this: TopicWorld, ms: number): Promise<void> {
@@ -186,6 +212,20 @@
   },
 );
 
+Then(
+  "the topic has been steady for {int} ms",
+  function (this: TopicWorld, ms: number): void {
+    assert.equal(this.followed.getSteadyMs(), ms);
+  },
+);
+
+Then(
+  "the topic has been steady for Infinity ms",
+  function (this: TopicWorld): void {
+    assert.equal(this.followed.getSteadyMs(), Infinity);
+  },
+);
+
 Then(
   "the topic has been steady for less than {int} ms",
   function (this: TopicWorld, ms: number): void {
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -21,6 +21,8 @@
   /** Longest time that the store holds a read, in ms; 0 answers at once. */
   readonly holdMs: number;
   readonly onPage: (page: AppliedPage<Value>) => void;
+  /** Whether reads are needed now, since nobody else tells the news; always where absent. */
+  readonly isNeeded?: () => boolean;
   /** Called after each failed read. */
   readonly onFailure?: () => void;
   readonly signal: AbortSignal;
@@ -38,13 +40,15 @@
 export interface FollowedTopic {
   /** Offset of the next read; 0 before the first. */
   readonly getNext: () => number;
-  /** Time since the last successful read was sent, in ms; Infinity before the first. */
+  /** Age of what is known, in ms: since the last successful read, own or another instance's, was sent. */
   readonly getAgeMs: () => number;
-  /** Time since reads worked again after the last failure, in ms. */
+  /** Time since the last successful read of this instance's own, in ms; Infinity before the first. */
+  readonly getReadAgeMs: () => number;
+  /** Time since there is fresh news again after an outage, in ms; Infinity where there was none. */
   readonly getSteadyMs: () => number;
   readonly isReadable: () => boolean;
-  /** Goes on from an offset that another instance has read. */
-  readonly advanceTo: (next: number) => void;
+  /** Goes on from an offset that another instance has read, `ageMs` ago. */
+  readonly advanceTo: (next: number, ageMs?: number) => void;
   /** Ends a held read, whose connection may be silent, and reads anew. */
   readonly interrupt: () => void;
 }
@@ -54,6 +58,13 @@
  * usual 4 ms, and short enough to notice a silent connection in time.
  */
 const answerTimeoutMs = 1_000;
+/**
+ * Age of the news from which the store counts as away, in ms: longer than a
+ * read that took its turn late, shorter than it takes entries to lapse.
+ */
+const awayAfterMs = 1_500;
+/** Pause between two questions whether reads are needed, in ms: a fraction of the pause between reads. */
+const neededCheckMs = 100;
 const leastRetryMs = 150;
 const mostRetryMs = 900;
 /** Share by which pauses vary, so that instances do not read in step. */
@@ -70,7 +81,8 @@
   let next = 0;
   let whole = true;
   let readMs = -Infinity;
-  let regainedMs = -Infinity;
+  let toldMs = -Infinity;
+  let steadySinceMs = -Infinity;
   let readable = true;
   let failures = 0;
   let reading = new AbortController();
@@ -86,17 +98,29 @@
     );
     whole = false;
     if (!readable) {
-      regainedMs = performance.now();
       log(fleetEvents.topicRegained, { topic: options.name, failures });
     }
     readable = true;
     failures = 0;
+    noteFresh();
     readMs = options.holdMs > 0 ? performance.now() : sentMs;
     const applied = { records, next: page.next, whole: wasWhole };
     next = Math.max(next, page.next);
     options.onPage(applied);
   }
 
+  function getAgeMs(): number {
+    return performance.now() - Math.max(readMs, toldMs);
+  }
+
+  /** Called before news is taken: what was known may have been old. */
+  function noteFresh(): void {
+    const ageMs = getAgeMs();
+    if (ageMs > awayAfterMs && ageMs < Infinity) {
+      steadySinceMs = performance.now();
+    }
+  }
+
   async function fetchPage(): Promise<TopicPage<Value>> {
     reading = new AbortController();
     interrupted = false;
@@ -133,6 +157,10 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
+      if (!whole && options.isNeeded?.() === false) {
+        await waitFor(neededCheckMs, signal);
+        continue;
+      }
       try {
         await readPage();
         await waitFor(drawPause(options.spacingMs), signal);
@@ -154,10 +182,17 @@
   void run();
   return {
     getNext: () => next,
-    getAgeMs: () => performance.now() - readMs,
-    getSteadyMs: () => readable ? performance.now() - regainedMs : 0,
+    getAgeMs,
+    getReadAgeMs: () => performance.now() - readMs,
+    getSteadyMs: () =>
+      getAgeMs() > awayAfterMs ? 0 : performance.now() - steadySinceMs,
     isReadable: () => readable,
-    advanceTo(offset): void {
+    advanceTo(offset, ageMs = Infinity): void {
+      const knownMs = performance.now() - ageMs;
+      if (offset >= next && knownMs > toldMs) {
+        if (ageMs <= awayAfterMs) noteFresh();
+        toldMs = knownMs;
+      }
       if (offset <= next) return;
       next = offset;
       whole = false;
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -15,6 +15,7 @@
   type LoadReports,
   type OpenCall,
   type ReadNotes,
+  type ReadReports,
   type ReadWork,
 } from "./endpoint_board.ts";
 export {
--- a/packages/core/src/process/fleet/keep_roles.feature
+++ b/packages/core/src/process/fleet/keep_roles.feature
@@ -12,6 +12,9 @@
       | 2       | 0      | 1     | p1 to decode     |
       | 0       | 2      | 0     | d1 to prefill    |
       | 1       | 0      | 0.62  |                  |
+      | 4       | 2      | 0.9   |                  |
+      | 5       | 1      | 0.75  | p1 to decode     |
+      | 2       | 1      | 0.9   |                  |
 
   Scenario: The first instance orders once the wish has held for two checks
     Given a pool with 3 prefill and 5 decode engines
--- a/packages/core/src/process/fleet/peer_book.ts
+++ b/packages/core/src/process/fleet/peer_book.ts
@@ -1,7 +1,7 @@
 /** The other instances as this one hears them. */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
-import type { DownNotes, LoadReports, ReadNotes } from "./endpoint_board.ts";
+import type { DownNotes, LoadReports, ReadReports } from "./endpoint_board.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
 
@@ -17,10 +17,20 @@
 export interface PeerDigest extends PeerAddress {
   /** Version of the routing configuration in force; 0 before the first. */
   readonly version: number;
+  /** Differs after each start of the instance. */
+  readonly start: string;
+  /** Count of digests since the start; one that arrives late is dropped by it. */
+  readonly sequence: number;
   /** Offset up to which the list of endpoints was read. */
   readonly listNext: number;
+  /** Offset up to which it has to be read to hold its last change. */
+  readonly listChanged: number;
+  /** Age of the list when the digest was sent, in ms. */
+  readonly listAgeMs: number;
+  /** Whether the instance reads the store for its failure domain. */
+  readonly readsStore: boolean;
   readonly loads: LoadReports;
-  readonly reads: ReadNotes;
+  readonly reads: ReadReports;
   readonly down: DownNotes;
   readonly changing: readonly ChangingEngine[];
   /** Whether the instance is stopping. */
@@ -30,8 +40,8 @@
 /** Registered and heard instances. */
 export interface PeerBook {
   readonly register: (entry: PeerAddress) => void;
-  /** Takes a digest that arrived. */
-  readonly takeDigest: (digest: PeerDigest) => void;
+  /** Takes a digest that arrived; tells whether it is the sender's newest. */
+  readonly takeDigest: (digest: PeerDigest) => boolean;
   /** All that are registered, this one left out. */
   readonly listRegistered: () => readonly PeerAddress[];
   /** Newest digests of instances that are heard now. */
@@ -95,9 +105,10 @@
         registeredMs: performance.now(),
       });
     },
-    takeDigest(digest): void {
-      if (digest.name === options.instance) return;
+    takeDigest(digest): boolean {
+      if (digest.name === options.instance) return false;
       const known = peers.get(digest.name);
+      if (known?.digest && isOlder(digest, known.digest)) return false;
       if (!known?.digest) {
         log(fleetEvents.peerSeen, {
           instance: digest.name,
@@ -112,9 +123,14 @@
         heardMs: nowMs,
         registeredMs: known?.registeredMs ?? nowMs,
       });
+      return true;
     },
     listRegistered: () => [...peers.values()].map(({ entry }) => entry),
     listHeard,
     countInstances: () => listHeard().length + 1,
   };
 }
+
+function isOlder(digest: PeerDigest, known: PeerDigest): boolean {
+  return digest.start === known.start && digest.sequence < known.sequence;
+}
--- a/packages/core/src/process/fleet/plan_roles.ts
+++ b/packages/core/src/process/fleet/plan_roles.ts
@@ -19,6 +19,11 @@
   readonly board: EndpointBoard;
 }
 
+/** Engines that must generate in any pool that has as many to spare: one alone would take every stream with it. */
+const leastGenerating = 2;
+/** Engines of a pool that keeps to that. */
+const smallestSparePool = 4;
+
 /** Lists the changes that bring the pool to its share; the least loaded engines change. */
 export function planRoles(input: RolePlanInput): readonly PlannedRole[] {
   const { engines, changing, board } = input;
@@ -26,7 +31,7 @@
   if (total < 2) return [];
   const wanted = Math.min(
     Math.max(Math.round(total * input.prefillShare), 1),
-    total - 1,
+    total - (total >= smallestSparePool ? leastGenerating : 1),
   );
   const having = countRole(engines, EngineRole.Prefill) +
     changing.filter(({ role }) => role === EngineRole.Prefill).length;
--- a/packages/core/src/request/forwarding/estimate_reads.ts
+++ b/packages/core/src/request/forwarding/estimate_reads.ts
@@ -44,8 +44,6 @@
 const awayFromHomeMs = 60;
 /** Weight of tokens that another engine holds: computing them again delays all that wait behind. */
 const readAgainWeight = 1.5;
-/** Time after which a prompt that was sent to an engine is taken to be computed, in ms. */
-const settledReadMs = 1_000;
 /** Share of late prompts that is taken to be ahead of one in time. */
 const lateShare = 0.4;
 /** Tokens in context by which each computed token takes twice as long. */
@@ -138,7 +136,7 @@
     if (options.board.isSuspended(engine.name)) continue;
     leastUnseen = Math.min(leastUnseen, countUnseen(work, engine, options));
     const settled = options.board.countSeenTokens(engine.name, work.parts, {
-      settledMs: settledReadMs,
+      computed: true,
     });
     if (settled > copyable) {
       copyable = settled;
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -30,7 +30,8 @@
   readonly peers: PeerBook;
   readonly getVersion: () => RouteIndex | undefined;
   readonly getState: () => FleetState;
-  readonly getListNext: () => number;
+  /** What digests say of the list of endpoints. */
+  readonly describeList: () => ListNews;
   readonly getListAgeMs: () => number;
   /** Takes a digest; fetches the sender's state if this instance is behind. */
   readonly takeDigest: (
@@ -39,12 +40,21 @@
   ) => void;
 }
 
+/** What digests say of the list of endpoints. */
+type ListNews = Pick<
+  PeerDigest,
+  "listNext" | "listChanged" | "listAgeMs" | "readsStore"
+>;
+
 /** What the view works with. */
 export interface FleetViewOptions {
   readonly settings: EntrySettings;
   readonly topics: StoreTopics;
   readonly channels: Channels;
   readonly onVersion: (version: RouteIndex) => void;
+  /** Called with news that other instances should hear soon. */
+  readonly onNews: () => void;
+  readonly isStopping: () => boolean;
   readonly logEvent: LogEvent;
   readonly signal: AbortSignal;
 }
@@ -56,12 +66,21 @@
 const heldSpacingMs = 20;
 /** Age of the own list above which another instance's newer one is taken, in ms. */
 const staleListMs = 1_300;
+/** Reads of the list that a domain's reader may miss before others read for themselves. */
+const missedReads = 2;
+/** Time after a start in which new instances are read of, in ms: those that start together register in it. */
+const firstLookMs = 5_000;
+/** Age of a list that was never read, as digests say it, in ms. */
+const neverReadMs = 1e9;
 
 /** Starts following the store. */
 export function openFleetView(options: FleetViewOptions): FleetView {
   const { settings, topics, logEvent, signal } = options;
   let version: RouteIndex | undefined;
   let fetching = false;
+  let reading = true;
+  const startedMs = performance.now();
+  const spacingMs = settings.leaving_ms / readsPerLeaving;
   const board = createEndpointBoard({ logEvent });
   const peers = createPeerBook({ instance: settings.instance, logEvent });
   const endpoints = createEndpointList({
@@ -91,6 +110,28 @@
       from,
     });
     options.onVersion(version);
+    options.onNews();
+  }
+
+  /**
+   * One instance of each failure domain reads the store for the others: the
+   * first by name whose reads succeed. Whoever hears nothing fresh reads too.
+   */
+  function isReader(): boolean {
+    const others = peers.listHeard().some((peer) =>
+      peer.failureDomain === settings.failure_domain && peer.readsStore &&
+      !peer.stopping && peer.name < settings.instance
+    );
+    const stale = list.getAgeMs() > spacingMs * missedReads;
+    const reads = !others || stale || options.isStopping();
+    if (reads !== reading) {
+      reading = reads;
+      logEvent(reads ? fleetEvents.readerBegan : fleetEvents.readerEnded, {
+        listAgeMs: Math.round(Math.min(list.getAgeMs(), neverReadMs)),
+        listNext: endpoints.getSnapshot().next,
+      });
+    }
+    return reads;
   }
 
   const configuration: FollowedTopic = followTopic(topics.configuration, {
@@ -102,6 +143,7 @@
         if (value) applyConfiguration(value, "store");
       }
     },
+    isNeeded: isReader,
     signal,
     logEvent,
   });
@@ -112,14 +154,20 @@
     onPage: ({ records }) => {
       for (const { value } of records) if (value) peers.register(value);
     },
+    isNeeded: () => performance.now() - startedMs < firstLookMs || isReader(),
     signal,
     logEvent,
   });
   const list: FollowedTopic = followTopic(topics.endpoints, {
     name: "endpoints",
-    spacingMs: settings.leaving_ms / readsPerLeaving,
+    spacingMs,
     holdMs: 0,
-    onPage: (page) => endpoints.apply(page),
+    onPage: (page) => {
+      endpoints.apply(page);
+      // Others go by the age of this read.
+      options.onNews();
+    },
+    isNeeded: isReader,
     onFailure(): void {
       // Held reads may hang on connections that have gone silent as well.
       configuration.interrupt();
@@ -131,8 +179,17 @@
 
   function isBehind(digest: PeerDigest): boolean {
     if (digest.version > (version?.version ?? 0)) return true;
-    return list.getAgeMs() > staleListMs &&
-      digest.listNext > endpoints.getSnapshot().next;
+    const { next } = endpoints.getSnapshot();
+    const stale = list.getAgeMs() > staleListMs && digest.listNext > next;
+    return stale || (!isReader() && digest.listChanged > next);
+  }
+
+  /** Notes that another instance has read on and found no change. */
+  function noteUnchanged(digest: PeerDigest): void {
+    const { next } = endpoints.getSnapshot();
+    if (digest.listNext < next || digest.listChanged > next) return;
+    endpoints.advanceTo(digest.listNext);
+    list.advanceTo(digest.listNext, digest.listAgeMs);
   }
 
   async function takeState(
@@ -145,8 +202,9 @@
       if (state.configuration) {
         applyConfiguration(state.configuration, digest.name);
       }
-      if (list.getAgeMs() > staleListMs && endpoints.merge(state.endpoints)) {
-        list.advanceTo(state.endpoints.next);
+      const takes = !isReader() || list.getAgeMs() > staleListMs;
+      if (takes && endpoints.merge(state.endpoints)) {
+        list.advanceTo(state.endpoints.next, digest.listAgeMs);
         logEvent(fleetEvents.peerStateTaken, {
           instance: digest.name,
           listNext: state.endpoints.next,
@@ -172,11 +230,20 @@
       configuration: version?.configuration,
       endpoints: endpoints.getSnapshot(),
     }),
-    getListNext: () => endpoints.getSnapshot().next,
+    describeList(): ListNews {
+      const { next, changed } = endpoints.getSnapshot();
+      return {
+        listNext: next,
+        listChanged: changed,
+        listAgeMs: Math.min(Math.round(list.getAgeMs()), neverReadMs),
+        readsStore: reading && list.getReadAgeMs() < spacingMs * missedReads,
+      };
+    },
     getListAgeMs: () => list.getAgeMs(),
     takeDigest(digest, fetchState): void {
-      peers.takeDigest(digest);
+      if (!peers.takeDigest(digest)) return;
       board.takeReports(digest.name, digest);
+      noteUnchanged(digest);
       if (!fetching && isBehind(digest)) void takeState(digest, fetchState);
     },
   };
--- /dev/null
+++ b/packages/node/src/entry/peer_link.feature
@@ -0,0 +1,22 @@
+Feature: Digests reach every instance and cross to another failure domain once
+
+  Background:
+    Given instances "a1 sapporo, a2 sapporo, b1 hakodate, b2 hakodate, b3 hakodate" that know each other
+
+  Scenario: One instance of another failure domain passes a digest on
+    When every instance has heard the others
+    And "a1" tells of its work
+    Then every other instance hears it within 500 ms
+    And of the digests of "a1" each goes to "a2" and one of "b1, b2, b3", in turn
+
+  Scenario: An instance that is not heard is told directly
+    When "a1" tells of its work
+    Then every other instance hears it within 500 ms
+
+  Scenario: A digest that was overtaken is dropped
+    When "a1" hears digests 2, 1 and 3 of "b1"
+    Then it takes the digests 2 and 3
+
+  Scenario: After a start the count begins anew
+    When "a1" hears digest 7 of "b1" and digest 1 of its next start
+    Then it takes the digests 7 and 1
--- /dev/null
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -0,0 +1,248 @@
+/** Steps of `peer_link.feature`. */
+import { strict as assert } from "node:assert";
+import { createSocket } from "node:dgram";
+import { createServer } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import {
+  createPeerBook,
+  type PeerBook,
+  type PeerDigest,
+} from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
+import { createChannels } from "./channels.ts";
+import { openPeerLink, type PeerLink } from "./peer_link.ts";
+import { chooseTargets } from "./peer_targets.ts";
+
+/** One instance with its link. */
+interface LinkedInstance {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly address: string;
+  readonly peers: PeerBook;
+  readonly link: PeerLink;
+  /** Senders of the digests that arrived. */
+  readonly heard: string[];
+  /** Digests that were not overtaken. */
+  readonly taken: number[];
+}
+
+/** State of one scenario. */
+interface LinkWorld {
+  linked?: LinkedInstance[];
+  linkEnding?: AbortController;
+  linkChannels?: ReturnType<typeof createChannels>;
+}
+
+After(function (this: LinkWorld): void {
+  this.linkEnding?.abort();
+  for (const { link } of this.linked ?? []) link.close();
+  this.linkChannels?.close();
+});
+
+function buildDigest(
+  from: Pick<LinkedInstance, "name" | "failureDomain" | "address">,
+  { sequence, start = "first" }: {
+    readonly sequence: number;
+    readonly start?: string;
+  },
+): PeerDigest {
+  const { name, failureDomain, address } = from;
+  return {
+    name,
+    failureDomain,
+    address,
+    start,
+    sequence,
+    version: 1,
+    listNext: 0,
+    listChanged: 0,
+    listAgeMs: 0,
+    readsStore: false,
+    loads: {},
+    reads: { sent: {}, computed: {} },
+    down: {},
+    changing: [],
+    stopping: false,
+  };
+}
+
+/** Finds a port that is free for both datagrams and connections. */
+async function findFreePort(): Promise<string> {
+  while (true) {
+    const socket = createSocket("udp4");
+    await new Promise<void>((resolve) => socket.bind(0, "127.0.0.1", resolve));
+    const { port } = socket.address();
+    const server = createServer();
+    const free = await new Promise<boolean>((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+    await new Promise<void>((resolve) => socket.close(() => resolve()));
+    if (free) return `127.0.0.1:${port}`;
+  }
+}
+
+async function openLinked(
+  world: LinkWorld,
+  [name = "", failureDomain = ""]: readonly string[],
+): Promise<LinkedInstance> {
+  assert.ok(world.linkEnding && world.linkChannels);
+  const address = await findFreePort();
+  const peers = createPeerBook({ instance: name, logEvent: () => undefined });
+  const heard: LinkedInstance["heard"] = [];
+  let sequence = 0;
+  const link = await openPeerLink({
+    failureDomain,
+    address,
+    peers,
+    channels: world.linkChannels,
+    buildDigest: () =>
+      buildDigest({ name, failureDomain, address }, {
+        sequence: sequence += 1,
+      }),
+    getState: () => ({
+      endpoints: { next: 0, changed: 0, endpoints: [], lapsed: [] },
+    }),
+    onDigest: (digest) => {
+      peers.takeDigest(digest);
+      heard.push(digest.name);
+    },
+    onFailure: (error) => assert.fail(String(error)),
+    signal: world.linkEnding.signal,
+  });
+  return {
+    name,
+    failureDomain,
+    address,
+    peers,
+    link,
+    heard,
+    taken: [],
+  };
+}
+
+function getLinked(world: LinkWorld, name: string): LinkedInstance {
+  const found = world.linked?.find((each) => each.name === name);
+  assert.ok(found);
+  return found;
+}
+
+Given(
+  "instances {string} that know each other",
+  async function (this: LinkWorld, text: string): Promise<void> {
+    this.linkEnding = new AbortController();
+    this.linkChannels = createChannels();
+    this.linked = [];
+    for (const part of text.split(", ")) {
+      this.linked.push(await openLinked(this, part.split(" ")));
+    }
+    for (const { peers } of this.linked) {
+      for (const { name, failureDomain, address } of this.linked) {
+        peers.register({ name, failureDomain, address });
+      }
+    }
+  },
+);
+
+When(
+  "every instance has heard the others",
+  async function (this: LinkWorld): Promise<void> {
+    const linked = this.linked ?? [];
+    await waitUntil(
+      "all instances are heard",
+      () =>
+        linked.every(({ peers }) => peers.countInstances() === linked.length),
+    );
+  },
+);
+
+When(
+  "{string} tells of its work",
+  function (this: LinkWorld, name: string): void {
+    for (const { heard } of this.linked ?? []) heard.length = 0;
+    getLinked(this, name).link.tellSoon();
+  },
+);
+
+Then(
+  "every other instance hears it within {int} ms",
+  async function (this: LinkWorld, ms: number): Promise<void> {
+    const others = (this.linked ?? []).filter(({ name }) => name !== "a1");
+    await waitUntil(
+      "all others have heard the digest",
+      () => others.every(({ heard }) => heard.includes("a1")),
+      { deadlineMs: ms },
+    );
+  },
+);
+
+Then(
+  "of the digests of {string} each goes to {string} and one of {string}, in turn",
+  function (
+    this: LinkWorld,
+    from: string,
+    near: string,
+    far: string,
+  ): void {
+    const { peers, failureDomain } = getLinked(this, from);
+    const relays = ["b1", "b2", "b3"].map((_, turn) => {
+      const targets = chooseTargets(peers.listRegistered(), {
+        failureDomain,
+        heard: new Set(peers.listHeard().map(({ name }) => name)),
+        turn,
+      });
+      assert.deepEqual(targets.direct.map(({ name }) => name), [near]);
+      assert.equal(targets.relays.length, 1);
+      return targets.relays[0]?.name;
+    });
+    assert.equal(relays.toSorted().join(", "), far);
+  },
+);
+
+When(
+  "{string} hears digests {int}, {int} and {int} of {string}",
+  function (
+    this: LinkWorld,
+    name: string,
+    first: number,
+    second: number,
+    third: number,
+    from: string,
+  ): void {
+    const instance = getLinked(this, name);
+    for (const sequence of [first, second, third]) {
+      takeDigest(instance, buildDigest(getLinked(this, from), { sequence }));
+    }
+  },
+);
+
+When(
+  "{string} hears digest {int} of {string} and digest {int} of its next start",
+  function (
+    this: LinkWorld,
+    name: string,
+    before: number,
+    from: string,
+    after: number,
+  ): void {
+    const instance = getLinked(this, name);
+    const sender = getLinked(this, from);
+    takeDigest(instance, buildDigest(sender, { sequence: before }));
+    takeDigest(
+      instance,
+      buildDigest(sender, { sequence: after, start: "second" }),
+    );
+  },
+);
+
+function takeDigest(instance: LinkedInstance, digest: PeerDigest): void {
+  if (instance.peers.takeDigest(digest)) instance.taken.push(digest.sequence);
+}
+
+Then(
+  "it takes the digests {int} and {int}",
+  function (this: LinkWorld, first: number, second: number): void {
+    assert.deepEqual(getLinked(this, "a1").taken, [first, second]);
+  },
+);
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -1,7 +1,8 @@
 /**
  * The link between instances: small digests as datagrams, sent when own work
  * changes and as a heartbeat; the state of the fleet over HTTP, fetched only by
- * an instance that is behind. tRPC does not fit here: digests are datagrams, a
+ * an instance that is behind. A digest crosses to another failure domain once:
+ * one instance there, another one each time, passes it on to the rest. tRPC does not fit here: digests are datagrams, a
  * lost one is replaced by the next, and the import alone costs a restarted
  * process a tenth of a second.
  */
@@ -16,6 +17,7 @@
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
 import { listen } from "./front_server.ts";
+import { chooseTargets } from "./peer_targets.ts";
 
 /** All that an instance hands to one that is behind. */
 export interface FleetState {
@@ -33,6 +35,7 @@
 
 /** What the link works with. */
 export interface PeerLinkOptions {
+  readonly failureDomain: string;
   /** IP number and port for both datagrams and HTTP. */
   readonly address: string;
   readonly peers: PeerBook;
@@ -44,11 +47,17 @@
   readonly signal: AbortSignal;
 }
 
-/** Time that changes of own work wait for others, in ms. */
+/** A digest on its way. */
+interface RelayedDigest extends PeerDigest {
+  /** Whether the receiver passes it on within its failure domain. */
+  readonly relay?: boolean;
+}
+
+/** Time that changes of own work wait for others, in ms, for each dozen of instances: datagrams grow with their number. */
 const gatherMs = 40;
+const gatheredInstances = 12;
 const heartbeatMs = 1_000;
-/** Most peers that get each digest; others get it in turn. */
-const maxFanOut = 12;
+const maxFirstTurn = 1_024;
 const stateTimeoutMs = 700;
 const maxStateBytes = 8 * 1_048_576;
 const statePath = "/state";
@@ -60,29 +69,41 @@
   options: PeerLinkOptions,
 ): Promise<PeerLink> {
   const server = await openStateServer(options);
-  const socket = await openDatagrams(options);
+  const socket = await openDatagrams(options, {
+    onRelay: (digest) => relayDigest(digest),
+  });
   let planned: NodeJS.Timeout | undefined;
-  let turn = 0;
+  // Instances that start together do not choose the same relay.
+  let turn = Math.floor(Math.random() * maxFirstTurn);
 
   function sendDigest(): void {
-    const digest = Buffer.from(JSON.stringify(options.buildDigest()));
-    for (const address of pickTargets()) {
-      const [host = "", port = ""] = address.split(":");
-      socket.send(digest, Number(port), host, (error) => {
-        if (error) options.onFailure(error);
-      });
-    }
+    const digest = options.buildDigest();
+    const plain = Buffer.from(JSON.stringify(digest));
+    const relayed = Buffer.from(JSON.stringify({ ...digest, relay: true }));
+    turn += 1;
+    const { direct, relays } = chooseTargets(options.peers.listRegistered(), {
+      failureDomain: options.failureDomain,
+      heard: new Set(options.peers.listHeard().map(({ name }) => name)),
+      turn,
+    });
+    for (const { address } of direct) sendTo(address, plain);
+    for (const { address } of relays) sendTo(address, relayed);
   }
 
-  function pickTargets(): readonly string[] {
-    const registered = options.peers.listRegistered()
-      .map(({ address }) => address);
-    if (registered.length <= maxFanOut) return registered;
-    turn += maxFanOut;
-    return Array.from(
-      { length: maxFanOut },
-      (_, index) => registered[(turn + index) % registered.length] ?? "",
-    );
+  function sendTo(address: string, message: Buffer): void {
+    const [host = "", port = ""] = address.split(":");
+    socket.send(message, Number(port), host, (error) => {
+      if (error) options.onFailure(error);
+    });
+  }
+
+  /** Passes a digest of another failure domain on within the own one. */
+  function relayDigest(digest: PeerDigest): void {
+    const message = Buffer.from(JSON.stringify(digest));
+    for (const peer of options.peers.listRegistered()) {
+      if (peer.failureDomain !== options.failureDomain) continue;
+      sendTo(peer.address, message);
+    }
   }
 
   async function sendHeartbeats(): Promise<void> {
@@ -92,13 +113,18 @@
     }
   }
 
+  function getGatherMs(): number {
+    const instances = options.peers.countInstances();
+    return gatherMs * Math.max(instances / gatheredInstances, 1);
+  }
+
   void sendHeartbeats();
   return {
     tellSoon(): void {
       planned ??= setTimeout(() => {
         planned = undefined;
         sendDigest();
-      }, gatherMs);
+      }, getGatherMs());
     },
     fetchState: (address) => fetchState(address, options),
     close(): void {
@@ -123,13 +149,22 @@
   return server;
 }
 
-function openDatagrams(options: PeerLinkOptions): Promise<Socket> {
+function openDatagrams(
+  options: PeerLinkOptions,
+  { onRelay }: { readonly onRelay: (digest: PeerDigest) => void },
+): Promise<Socket> {
   const [host = "", port = ""] = options.address.split(":");
   const socket = createSocket("udp4");
   socket.on("message", (message) => {
-    const digest = parseDigest(message);
-    if (digest) options.onDigest(digest);
-    else options.onFailure(new Error("digest of an instance is malformed"));
+    const parsed = parseDigest(message);
+    if (!parsed) {
+      return options.onFailure(
+        new Error("digest of an instance is malformed"),
+      );
+    }
+    const { relay, ...digest } = parsed;
+    if (relay) onRelay(digest);
+    options.onDigest(digest);
   });
   return new Promise((resolve, reject) => {
     socket.once("error", reject);
@@ -142,14 +177,14 @@
 }
 
 /** Digests come from the system's own instances; a damaged one is dropped. */
-function parseDigest(message: Buffer): PeerDigest | undefined {
+function parseDigest(message: Buffer): RelayedDigest | undefined {
   try {
     const digest: unknown = JSON.parse(message.toString());
     if (typeof digest !== "object" || digest === null) return undefined;
     const { name, address, loads } = digest as Partial<PeerDigest>;
     const whole = typeof name === "string" && typeof address === "string" &&
       typeof loads === "object";
-    return whole ? digest as PeerDigest : undefined;
+    return whole ? digest as RelayedDigest : undefined;
   } catch {
     return undefined;
   }
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -1,4 +1,5 @@
 /** Start and planned stop of an entry: one process before the endpoints. */
+import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import {
   answerEnd,
@@ -73,6 +74,7 @@
   stopping: boolean;
   ready: boolean;
   front?: FrontServer;
+  link?: PeerLink;
 }
 
 /** Starts an entry; resolves once it listens. */
@@ -83,6 +85,7 @@
   const running = await createRunning(settings, options);
   const { fleet, life } = running;
   const link = await openLink(running);
+  life.link = link;
   fleet.board.onChange(link.tellSoon);
   life.front = await openFrontServer({
     address: settings.callers,
@@ -137,6 +140,8 @@
     topics,
     channels,
     onVersion: ({ limits }) => life.front?.applyLimits(limits),
+    onNews: () => life.link?.tellSoon(),
+    isStopping: () => life.stopping,
     logEvent,
     signal: ending.signal,
   });
@@ -234,34 +239,37 @@
 
 function openLink(running: Running): Promise<PeerLink> {
   const { settings, fleet, roles, life, options, ending } = running;
-  const started: { link?: PeerLink } = {};
+  const start = randomUUID();
+  let sequence = 0;
   const buildDigest = (): PeerDigest => ({
+    start,
+    sequence: sequence += 1,
     name: settings.instance,
     address: settings.peers,
     failureDomain: settings.failure_domain,
     version: fleet.getVersion()?.version ?? 0,
-    listNext: fleet.getListNext(),
+    ...fleet.describeList(),
     loads: fleet.board.getReports(),
     reads: fleet.board.listReads(),
     down: fleet.board.listDown(),
     changing: roles.listOrdered(),
     stopping: life.stopping,
   });
-  const opening = openPeerLink({
+  return openPeerLink({
+    failureDomain: settings.failure_domain,
     address: settings.peers,
     peers: fleet.peers,
     channels: running.channels,
     buildDigest,
     getState: fleet.getState,
     onDigest: (digest) => {
-      const { link } = started;
+      const { link } = life;
       if (link) fleet.takeDigest(digest, link.fetchState);
     },
     onFailure: (error) =>
       options.logEvent(entryEvents.linkFailed, { error: String(error) }),
     signal: ending.signal,
   });
-  return opening.then((link) => started.link = link);
 }
 
 /** Answers the balancer, which reads the status alone. */
