Take connections at hand first, and tell callers of longer outages

Ruled out: converting an engine at once; a change of roles takes 3 s and more, the crashes 4.5 to 5.2 s. Change: a connection at hand counts for 25 ms among engines that generate and for one place among plain endpoints; a call refused while every endpoint is down is told 2.5 s.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -2,6 +2,7 @@
 import {
   CallKind,
   Effect,
+  EngineRole,
   type ForwardCall,
   type ForwardRoute,
   type ListedEndpoint,
@@ -55,6 +56,11 @@
 const redirect = 300;
 /** When to come back where no endpoint is listed, in ms: about half a heartbeat of theirs. */
 const noEndpointRetryMs = 600;
+/**
+ * When to come back where every endpoint is down, or none generates, in ms:
+ * half of the time that a crashed process or a change of roles takes.
+ */
+const allDownRetryMs = 2_500;
 /** Another process has the address, or the engine has another role. */
 const misdirected = 421;
 
@@ -123,14 +129,24 @@
   state: CallState,
   fullRetryMs: number,
 ): ForwardEnd {
-  const taking = state.parts.endpoints.listTaking(state.service).length;
-  return taking === 0
-    ? refuseUnrun(RefusalReason.NoEndpoint, "no endpoint takes work", {
+  const { endpoints, board } = state.parts;
+  const taking = endpoints.listTaking(state.service);
+  if (taking.length === 0) {
+    return refuseUnrun(RefusalReason.NoEndpoint, "no endpoint takes work", {
       retryAfterMs: noEndpointRetryMs,
-    })
-    : refuseUnrun(RefusalReason.Overloaded, "all endpoints are full", {
-      retryAfterMs: fullRetryMs,
     });
+  }
+  const allDown = taking.every(({ name, role }) =>
+    role === EngineRole.Prefill || board.isSuspended(name)
+  );
+  if (allDown) {
+    return refuseUnrun(RefusalReason.NoEndpoint, "all endpoints are down", {
+      retryAfterMs: allDownRetryMs,
+    });
+  }
+  return refuseUnrun(RefusalReason.Overloaded, "all endpoints are full", {
+    retryAfterMs: fullRetryMs,
+  });
 }
 
 /** Reads the whole body of an answer. */
--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -67,6 +67,8 @@
   readonly scripts: Map<string, Behaviour[]>;
   readonly sends: FakeSend[];
   readonly released: string[];
+  /** Endpoints to which a connection is at hand. */
+  readonly connected: Set<string>;
   readonly sender: EndpointSender;
 }
 
@@ -77,10 +79,12 @@
   const scripts = new Map<string, Behaviour[]>();
   const sends: FakeSend[] = [];
   const released: string[] = [];
+  const connected = new Set<string>();
   return {
     scripts,
     sends,
     released,
+    connected,
     sender: {
       send: (call, facts, { signal }) => {
         const { name } = facts.endpoint;
@@ -94,6 +98,7 @@
         body.toString() === "exported"
           ? { address, handle: `of ${address}` }
           : undefined,
+      isConnected: ({ name }) => connected.has(name),
       releaseExport: (_endpoint, { handle }) => void released.push(handle),
     },
   };
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -167,3 +167,45 @@
     When a stream with 60000 prompt tokens is forwarded
     Then the caller gets events 1 to 2 and the end
     And the call was sent with rank 5
+
+  Scenario: An engine to which a connection is at hand generates
+    Given a "stream" route over "p1, d1, d2, d3" with 1 endpoints for a call
+    And a connection to "d2" is at hand
+    And "d2" answers "events 1-2"
+    When a stream with 9000 prompt tokens is forwarded
+    Then the call has reached "p1, d2"
+
+  Scenario: A connection at hand does not outweigh an engine's backlog
+    Given a "stream" route over "p1, d1, d2" with 1 endpoints for a call
+    And a connection to "d2" is at hand
+    And "d2" has 6000 prompt tokens ahead
+    And "d1" answers "events 1-2"
+    When a stream with 9000 prompt tokens is forwarded
+    Then the call has reached "p1, d1"
+
+  Scenario: A plain call goes to the endpoint to which a connection is at hand
+    Given a "at_most_once" route over "s1, s2, s3" with 1 endpoints for a call
+    And a connection to "s3" is at hand
+    When a call is forwarded
+    Then the call has reached "s3"
+
+  Scenario Outline: A refusal says by its cause when to come back
+    Given a "at_most_once" route over "e1, e2" with 1 endpoints for a call
+    And "e1" answers "<first>"
+    And "e2" answers "<second>"
+    When a call is forwarded
+    Then the caller gets status 503
+    And the caller is told to come back in <ms> ms
+
+    Examples:
+      | first       | second      | ms   |
+      | full        | full        | 250  |
+      | full        | unreachable | 250  |
+      | unreachable | unreachable | 2500 |
+
+  Scenario: A caller is told to come back later while no engine generates
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "d1" answers "unreachable"
+    When a stream with 9000 prompt tokens is forwarded
+    Then the caller gets status 503
+    And the caller is told to come back in 2500 ms
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -42,6 +42,13 @@
   },
 );
 
+Given(
+  "a connection to {string} is at hand",
+  function (this: ForwardWorld, name: string): void {
+    this.fake.connected.add(name);
+  },
+);
+
 Given(
   "{string} exports after {int} ms",
   function (this: ForwardWorld, name: string, ms: number): void {
@@ -173,6 +180,13 @@
   },
 );
 
+Then(
+  "the caller is told to come back in {int} ms",
+  function (this: ForwardWorld, ms: number): void {
+    assert.equal(Number(this.caller.retryAfter), ms / 1_000);
+  },
+);
+
 Then("the caller's answer ends with its connection", function (
   this: ForwardWorld,
 ): void {
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -43,6 +43,8 @@
   readonly board: EndpointBoard;
   readonly speeds: ReadSpeeds;
   readonly ownDomain: string;
+  /** Whether a connection to the engine is at hand. */
+  readonly isConnected: (engine: ListedEndpoint) => boolean;
 }
 
 /** Time of an export besides computing, in ms: links, setup and the move of the memory. */
@@ -52,6 +54,8 @@
 /** Share of an engine's slots above which new generations wait. */
 const fullShare = 0.95;
 const fullWaitMs = 500;
+/** Time by which a new connection is worse than one at hand, in ms: its price against that of late answers. */
+const connectMs = 25;
 /** Slower steps for each generation that runs at an engine, in ms. */
 const perRunMs = 1;
 
@@ -78,7 +82,8 @@
       engine,
       cost: estimateRunMs(engine, options) +
         estimateBacklogMs(engine, options) +
-        estimateDistanceMs(engine, exporter),
+        estimateDistanceMs(engine, exporter) +
+        (options.isConnected(engine) ? 0 : connectMs),
     })),
   )?.engine;
 }
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -46,7 +46,7 @@
   let fallback: WholeAnswer | undefined;
   let lost: ForwardEnd | undefined;
   while (!state.signal.aborted) {
-    const endpoint = chooseEndpoint(state);
+    const endpoint = chooseEndpoint(state, getMaxIdleMs(state));
     if (!endpoint) break;
     if (!allowSend(state)) break;
     const attempt = await callEndpoint(state, endpoint);
@@ -73,6 +73,11 @@
   return lost ?? refuseForRoom(state, fullRetryMs);
 }
 
+/** Longest idle time of a connection that the call may take, in ms. */
+function getMaxIdleMs({ route }: CallState): number | undefined {
+  return route.kind === CallKind.Idempotent ? undefined : maxIdleMs;
+}
+
 async function callEndpoint(
   state: CallState,
   endpoint: ListedEndpoint,
@@ -97,7 +102,7 @@
       endpoint,
       leftMs: getLeftMs(state),
       rank: route.rank,
-    }, { signal, maxIdleMs: repeatable ? undefined : maxIdleMs });
+    }, { signal, maxIdleMs: getMaxIdleMs(state) });
     const body = await readBody(answer);
     if (answer.head.notRun) {
       end = classifyRefusal(answer.head.status);
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -78,6 +78,7 @@
     board: parts.board,
     speeds: parts.speeds,
     ownDomain: parts.ownDomain,
+    isConnected: (engine) => parts.sender.isConnected(engine),
   };
 }
 
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -46,6 +46,11 @@
     facts: SendFacts,
     options: SendOptions,
   ) => Promise<EndpointAnswer>;
+  /** Whether a connection is at hand that was idle for `maxIdleMs` at most. */
+  readonly isConnected: (
+    endpoint: ListedEndpoint,
+    options?: { readonly maxIdleMs?: number },
+  ) => boolean;
   /** Reads the handle from the answer to an export; undefined where it is none. */
   readonly decodeExport: (
     endpoint: ListedEndpoint,
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -38,6 +38,8 @@
     address: string,
     request: ChannelRequest,
   ) => Promise<ChannelAnswer>;
+  /** Whether a connection to an address is idle, for `maxIdleMs` at most. */
+  readonly hasIdle: (address: string, maxIdleMs?: number) => boolean;
   /** Closes idle connections to an address that is no longer used. */
   readonly forget: (address: string) => void;
   readonly close: () => void;
@@ -136,6 +138,11 @@
       runExchange(takeChannel(address, request.maxIdleMs), request, {
         onFree: releaseChannel,
       }),
+    hasIdle(address, maxIdleMs = Infinity): boolean {
+      const newest = idle.get(address)?.at(-1);
+      return newest !== undefined &&
+        performance.now() - newest.idleSinceMs <= maxIdleMs;
+    },
     forget(address): void {
       const known = idle.get(address) ?? [];
       idle.delete(address);
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -34,6 +34,8 @@
         body: answer.body,
       };
     },
+    isConnected: ({ address }, { maxIdleMs } = {}) =>
+      channels.hasIdle(address, maxIdleMs),
     decodeExport: codec.decodeExport,
     releaseExport(endpoint, exported): void {
       channels.exchange(endpoint.address, {
