Gather digests in large domains, and sum reports as they arrive

Each instance sent and read about 350 datagrams a second, and each placement added up 80 reports for every engine, several times. Ruled out: the store (1274 and 1603 calls in all). Change: above eight other members of a domain, digests go to one of three instances of it, which pass them on together every 200 ms; heartbeats are sent only where nothing else was; sums of reports are kept as these arrive.

--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -144,6 +144,12 @@
   readonly notedMs: number;
 }
 
+interface PeerSum {
+  calls: number;
+  readTokens: number;
+  lateTokens: number;
+}
+
 interface PeerEntry {
   readonly takenMs: number;
   readonly reports: LoadReports;
@@ -156,6 +162,8 @@
   const log = options.logEvent ?? logEvent;
   const own = new Map<EndpointName, OwnEntry>();
   const peers = new Map<string, PeerEntry>();
+  /** Sums of the peers' reports, so that a look at an endpoint costs the same with any number of peers. */
+  const sums = new Map<EndpointName, PeerSum>();
   const listeners: (() => void)[] = [];
   let ownReads: OwnRead[] = [];
 
@@ -176,6 +184,29 @@
     return created;
   }
 
+  function addReports(reports: LoadReports, factor: 1 | -1): void {
+    for (const [endpoint, load] of Object.entries(reports)) {
+      const sum = sums.get(endpoint) ??
+        { calls: 0, readTokens: 0, lateTokens: 0 };
+      sum.calls += factor * load.calls;
+      sum.readTokens += factor * load.readTokens;
+      sum.lateTokens += factor * load.lateTokens;
+      // What is left of tokens without calls comes from rounding.
+      if (sum.calls === 0) sums.delete(endpoint);
+      else sums.set(endpoint, sum);
+    }
+  }
+
+  function removeOldReports(): void {
+    const oldestMs = performance.now() - maxReportAgeMs;
+    for (const [name, peer] of peers) {
+      // Newer reports stand behind older ones.
+      if (peer.takenMs >= oldestMs) return;
+      peers.delete(name);
+      addReports(peer.reports, -1);
+    }
+  }
+
   function tellListeners(): void {
     for (const listener of listeners) listener();
   }
@@ -258,18 +289,13 @@
     },
     getLoad(endpoint): EndpointLoad {
       const entry = own.get(endpoint);
-      let calls = entry?.calls ?? 0;
-      let readTokens = entry?.readTokens ?? 0;
-      let lateTokens = entry?.lateTokens ?? 0;
-      const oldestMs = performance.now() - maxReportAgeMs;
-      for (const peer of peers.values()) {
-        if (peer.takenMs < oldestMs) continue;
-        const report = peer.reports[endpoint];
-        calls += report?.calls ?? 0;
-        readTokens += report?.readTokens ?? 0;
-        lateTokens += report?.lateTokens ?? 0;
-      }
-      return { calls, readTokens, lateTokens };
+      removeOldReports();
+      const sum = sums.get(endpoint);
+      return {
+        calls: (entry?.calls ?? 0) + (sum?.calls ?? 0),
+        readTokens: (entry?.readTokens ?? 0) + (sum?.readTokens ?? 0),
+        lateTokens: (entry?.lateTokens ?? 0) + (sum?.lateTokens ?? 0),
+      };
     },
     isSuspended: (endpoint) =>
       (own.get(endpoint)?.suspendedUntilMs ?? -Infinity) > performance.now(),
@@ -292,7 +318,11 @@
       return Object.fromEntries(
         busy.map(([name, { calls, readTokens, lateTokens }]) => [
           name,
-          { calls, readTokens, lateTokens },
+          {
+            calls,
+            readTokens: Math.round(readTokens),
+            lateTokens: Math.round(lateTokens),
+          },
         ]),
       );
     },
@@ -314,7 +344,11 @@
     },
     takeReports(instance, { loads, reads, down }): void {
       const nowMs = performance.now();
+      const former = peers.get(instance);
+      if (former) addReports(former.reports, -1);
+      peers.delete(instance);
       peers.set(instance, { takenMs: nowMs, reports: loads });
+      addReports(loads, 1);
       for (const [endpoint, ids] of Object.entries(reads.sent)) {
         noteSeen(getEntry(endpoint), ids, { computed: false });
       }
@@ -328,9 +362,7 @@
           nowMs + Math.min(leftMs, longestSuspensionMs),
         );
       }
-      for (const [name, peer] of peers) {
-        if (nowMs - peer.takenMs > maxReportAgeMs) peers.delete(name);
-      }
+      removeOldReports();
     },
     forget(endpoint): void {
       const entry = own.get(endpoint);
--- a/packages/node/src/entry/peer_link.feature
+++ b/packages/node/src/entry/peer_link.feature
@@ -9,6 +9,10 @@
     Then every other instance hears it within 500 ms
     And of the digests of "a1" each goes to "a2" and one of "b1, b2, b3", in turn
 
+  Scenario: In a large domain one instance gathers for the others
+    Given instances of a large domain "sapporo" with 12 instances and of "hakodate" with 2
+    Then a digest of "s01" goes directly to "" and through one of "s02, s03, s04" and one of "h01, h02"
+
   Scenario: An instance that is not heard is told directly
     When "a1" tells of its work
     Then every other instance hears it within 500 ms
--- a/packages/node/src/entry/peer_link.steps.ts
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -5,6 +5,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
   createPeerBook,
+  type PeerAddress,
   type PeerBook,
   type PeerDigest,
 } from "@trefoildoor/core";
@@ -29,6 +30,7 @@
 /** State of one scenario. */
 interface LinkWorld {
   linked?: LinkedInstance[];
+  all?: readonly PeerAddress[];
   linkEnding?: AbortController;
   linkChannels?: ReturnType<typeof createChannels>;
 }
@@ -200,6 +202,53 @@
   },
 );
 
+Given(
+  "instances of a large domain {string} with {int} instances and of {string} with {int}",
+  function (
+    this: LinkWorld,
+    large: string,
+    largeCount: number,
+    small: string,
+    smallCount: number,
+  ): void {
+    const build = (domain: string, count: number): readonly PeerAddress[] =>
+      Array.from({ length: count }, (_, index) => ({
+        name: `${domain[0]}${String(index + 1).padStart(2, "0")}`,
+        failureDomain: domain,
+        address: "10.0.0.1:1",
+      }));
+    this.all = [...build(large, largeCount), ...build(small, smallCount)];
+  },
+);
+
+Then(
+  "a digest of {string} goes directly to {string} and through one of {string} and one of {string}",
+  function (
+    this: LinkWorld,
+    from: string,
+    direct: string,
+    near: string,
+    far: string,
+  ): void {
+    const others = (this.all ?? []).filter(({ name }) => name !== from);
+    const chosen = Array.from(
+      { length: 6 },
+      (_, turn) =>
+        chooseTargets(others, {
+          failureDomain: "sapporo",
+          heard: new Set(others.map(({ name }) => name)),
+          turn,
+        }),
+    );
+    const relays = (index: number): string =>
+      [...new Set(chosen.map(({ relays }) => relays[index]?.name))]
+        .toSorted().join(", ");
+    const directly = chosen.flatMap((targets) => targets.direct);
+    assert.equal(directly.map(({ name }) => name).join(", "), direct);
+    assert.deepEqual([relays(0), relays(1)], [near, far]);
+  },
+);
+
 When(
   "{string} hears digests {int}, {int} and {int} of {string}",
   function (
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -2,7 +2,8 @@
  * The link between instances: small digests as datagrams, sent when own work
  * changes and as a heartbeat; the state of the fleet over HTTP, fetched only by
  * an instance that is behind. A digest crosses to another failure domain once:
- * one instance there, another one each time, passes it on to the rest. tRPC does not fit here: digests are datagrams, a
+ * one instance there, another one each time, passes it on to the rest, in large
+ * domains together with others. tRPC does not fit here: digests are datagrams, a
  * lost one is replaced by the next, and the import alone costs a restarted
  * process a tenth of a second.
  */
@@ -10,6 +11,7 @@
 import { createServer, type Server } from "node:http";
 import {
   type EndpointSnapshot,
+  type PeerAddress,
   type PeerBook,
   type PeerDigest,
   type RoutingConfiguration,
@@ -17,7 +19,7 @@
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
 import { listen } from "./front_server.ts";
-import { chooseTargets } from "./peer_targets.ts";
+import { chooseTargets, mostDirectMembers } from "./peer_targets.ts";
 
 /** All that an instance hands to one that is behind. */
 export interface FleetState {
@@ -57,6 +59,10 @@
 const gatherMs = 40;
 const gatheredInstances = 12;
 const heartbeatMs = 1_000;
+/** Time that digests wait for others before they are passed on in a large domain, in ms. */
+const relayGatherMs = 200;
+/** Digests in one datagram: some 10 KB, far below what one can hold. */
+const digestsOfDatagram = 32;
 const maxFirstTurn = 1_024;
 const stateTimeoutMs = 700;
 const maxStateBytes = 8 * 1_048_576;
@@ -73,10 +79,14 @@
     onRelay: (digest) => relayDigest(digest),
   });
   let planned: NodeJS.Timeout | undefined;
+  let sentMs = -Infinity;
+  let relaying: NodeJS.Timeout | undefined;
+  const waiting = new Map<string, PeerDigest>();
   // Instances that start together do not choose the same relay.
   let turn = Math.floor(Math.random() * maxFirstTurn);
 
   function sendDigest(): void {
+    sentMs = performance.now();
     const digest = options.buildDigest();
     const plain = Buffer.from(JSON.stringify(digest));
     const relayed = Buffer.from(JSON.stringify({ ...digest, relay: true }));
@@ -97,19 +107,39 @@
     });
   }
 
-  /** Passes a digest of another failure domain on within the own one. */
+  function listOwnDomain(): readonly PeerAddress[] {
+    return options.peers.listRegistered().filter((peer) =>
+      peer.failureDomain === options.failureDomain
+    );
+  }
+
+  /** Passes a digest on within the own failure domain. */
   function relayDigest(digest: PeerDigest): void {
-    const message = Buffer.from(JSON.stringify(digest));
-    for (const peer of options.peers.listRegistered()) {
-      if (peer.failureDomain !== options.failureDomain) continue;
-      sendTo(peer.address, message);
+    waiting.set(digest.name, digest);
+    if (listOwnDomain().length <= mostDirectMembers) return sendWaiting();
+    relaying ??= setTimeout(sendWaiting, relayGatherMs);
+  }
+
+  function sendWaiting(): void {
+    clearTimeout(relaying);
+    relaying = undefined;
+    const digests = [...waiting.values()];
+    waiting.clear();
+    const messages: Buffer[] = [];
+    for (let index = 0; index < digests.length; index += digestsOfDatagram) {
+      const some = digests.slice(index, index + digestsOfDatagram);
+      messages.push(Buffer.from(JSON.stringify(some)));
+    }
+    for (const { address } of listOwnDomain()) {
+      for (const message of messages) sendTo(address, message);
     }
   }
 
   async function sendHeartbeats(): Promise<void> {
     while (!options.signal.aborted) {
-      sendDigest();
-      await waitFor(heartbeatMs, options.signal);
+      const restMs = sentMs + heartbeatMs - performance.now();
+      if (restMs <= 0) sendDigest();
+      await waitFor(restMs > 0 ? restMs : heartbeatMs, options.signal);
     }
   }
 
@@ -129,6 +159,7 @@
     fetchState: (address) => fetchState(address, options),
     close(): void {
       clearTimeout(planned);
+      clearTimeout(relaying);
       socket.close();
       server.close();
       server.closeAllConnections();
@@ -156,15 +187,16 @@
   const [host = "", port = ""] = options.address.split(":");
   const socket = createSocket("udp4");
   socket.on("message", (message) => {
-    const parsed = parseDigest(message);
+    const parsed = parseDigests(message);
     if (!parsed) {
       return options.onFailure(
         new Error("digest of an instance is malformed"),
       );
     }
-    const { relay, ...digest } = parsed;
-    if (relay) onRelay(digest);
-    options.onDigest(digest);
+    for (const { relay, ...digest } of parsed) {
+      if (relay) onRelay(digest);
+      options.onDigest(digest);
+    }
   });
   return new Promise((resolve, reject) => {
     socket.once("error", reject);
@@ -177,19 +209,25 @@
 }
 
 /** Digests come from the system's own instances; a damaged one is dropped. */
-function parseDigest(message: Buffer): RelayedDigest | undefined {
+function parseDigests(message: Buffer): readonly RelayedDigest[] | undefined {
   try {
-    const digest: unknown = JSON.parse(message.toString());
-    if (typeof digest !== "object" || digest === null) return undefined;
-    const { name, address, loads } = digest as Partial<PeerDigest>;
-    const whole = typeof name === "string" && typeof address === "string" &&
-      typeof loads === "object";
-    return whole ? digest as RelayedDigest : undefined;
+    const parsed: unknown = JSON.parse(message.toString());
+    const digests: readonly unknown[] = Array.isArray(parsed)
+      ? parsed
+      : [parsed];
+    return digests.every(isDigest) ? digests : undefined;
   } catch {
     return undefined;
   }
 }
 
+function isDigest(digest: unknown): digest is RelayedDigest {
+  if (typeof digest !== "object" || digest === null) return false;
+  const { name, address, loads } = digest as Partial<PeerDigest>;
+  return typeof name === "string" && typeof address === "string" &&
+    typeof loads === "object";
+}
+
 async function fetchState(
   address: string,
   options: PeerLinkOptions,
--- a/packages/node/src/entry/peer_targets.ts
+++ b/packages/node/src/entry/peer_targets.ts
@@ -1,6 +1,7 @@
 /**
- * Whom a digest is sent to: the own failure domain directly, any other one
- * through one of its instances, so that each digest crosses to it once.
+ * Whom a digest is sent to. Within a small failure domain it goes to everyone;
+ * else to one instance of each domain, which gathers digests for the others, so
+ * that datagrams grow with the instances and not with their square.
  */
 import type { PeerAddress } from "@trefoildoor/core";
 
@@ -11,6 +12,11 @@
   readonly relays: readonly PeerAddress[];
 }
 
+/** Other members of a domain up to which each is told directly: a dozen datagrams for each change stay cheap. */
+export const mostDirectMembers = 8;
+/** Instances of a domain that pass digests on in turn: one may be gone, and a narrow link is shared. */
+const relaysOfDomain = 3;
+
 /** Chooses the receivers; another `turn` chooses other relays. */
 export function chooseTargets(
   registered: readonly PeerAddress[],
@@ -22,18 +28,27 @@
   },
 ): PeerTargets {
   const direct: PeerAddress[] = [];
-  const elsewhere = new Map<string, PeerAddress[]>();
+  const domains = new Map<string, PeerAddress[]>();
   for (const peer of registered) {
     // An instance that is not heard may not be known in its domain, either.
-    if (peer.failureDomain === failureDomain || !heard.has(peer.name)) {
+    if (!heard.has(peer.name)) {
       direct.push(peer);
       continue;
     }
-    const members = elsewhere.get(peer.failureDomain) ?? [];
+    const members = domains.get(peer.failureDomain) ?? [];
     members.push(peer);
-    elsewhere.set(peer.failureDomain, members);
+    domains.set(peer.failureDomain, members);
+  }
+  const own = domains.get(failureDomain) ?? [];
+  if (own.length <= mostDirectMembers) {
+    direct.push(...own);
+    domains.delete(failureDomain);
   }
-  const relays = [...elsewhere.values()]
-    .flatMap((members) => members[turn % members.length] ?? []);
+  const relays = [...domains.values()].flatMap((members) => {
+    const few = members
+      .toSorted((left, right) => left.name < right.name ? -1 : 1)
+      .slice(0, relaysOfDomain);
+    return few[turn % few.length] ?? [];
+  });
   return { direct, relays };
 }
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -1,5 +1,5 @@
 /** Start and planned stop of an entry: one process before the endpoints. */
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import {
   answerEnd,
@@ -54,6 +54,8 @@
 /** Time before the platform's kill at which calls in flight are cut, in ms. */
 const killMarginMs = 400;
 const openCheckMs = 50;
+/** Random bytes that tell one start from another in digests. */
+const startBytes = 4;
 
 /** Parts of a started entry, which live as long as the process. */
 interface Running {
@@ -239,7 +241,7 @@
 
 function openLink(running: Running): Promise<PeerLink> {
   const { settings, fleet, roles, life, options, ending } = running;
-  const start = randomUUID();
+  const start = randomBytes(startBytes).toString("hex");
   let sequence = 0;
   const buildDigest = (): PeerDigest => ({
     start,
