--- a/packages/core/src/process/fleet/endpoint_board.ts
+++ b/packages/core/src/process/fleet/endpoint_board.ts
@@ -5,6 +5,11 @@
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { EndpointName, PromptPart } from "../../types/index.ts";
 import { fleetEvents } from "./events.ts";
+import {
+  createPeerReports,
+  type EndpointLoad,
+  type LoadReports,
+} from "./peer_reports.ts";
 
 /** How a call at an endpoint ended, as far as the endpoint is to blame. */
 export enum CallEnd {
@@ -22,16 +27,6 @@
   Withdrawn = "withdrawn",
 }
 
-/** Load of one endpoint, all instances together. */
-export interface EndpointLoad {
-  /** Calls that run or wait there. */
-  readonly calls: number;
-  /** Prompt tokens of calls in time that were sent there and are not computed yet. */
-  readonly readTokens: number;
-  /** The same of calls that are late already and go behind the others. */
-  readonly lateTokens: number;
-}
-
 /** Prompt work of one call at an endpoint. */
 export interface ReadWork {
   readonly tokens: number;
@@ -43,9 +38,6 @@
 /** Endpoints that an instance found down, with the time for which they get no work, in ms. */
 export type DownNotes = Readonly<Record<EndpointName, number>>;
 
-/** Work that one instance has at endpoints, as it tells the others. */
-export type LoadReports = Readonly<Record<EndpointName, EndpointLoad>>;
-
 /** Parts of prompts by engine. */
 export type ReadNotes = Readonly<Record<EndpointName, readonly string[]>>;
 
@@ -103,8 +95,6 @@
   readonly onChange: (listener: () => void) => void;
 }
 
-/** Age at which another instance's report no longer counts, in ms: three times its heartbeat. */
-const maxReportAgeMs = 3_000;
 /** Time for which computed parts are taken to stay in an engine's memory, in ms. */
 const seenTtlMs = 15_000;
 const maxSeenParts = 4_096;
@@ -144,26 +134,13 @@
   readonly notedMs: number;
 }
 
-interface PeerSum {
-  calls: number;
-  readTokens: number;
-  lateTokens: number;
-}
-
-interface PeerEntry {
-  readonly takenMs: number;
-  readonly reports: LoadReports;
-}
-
 /** Creates an empty board. */
 export function createEndpointBoard(
   options: { readonly logEvent?: LogEvent } = {},
 ): EndpointBoard {
   const log = options.logEvent ?? logEvent;
   const own = new Map<EndpointName, OwnEntry>();
-  const peers = new Map<string, PeerEntry>();
-  /** Sums of the peers' reports, so that a look at an endpoint costs the same with any number of peers. */
-  const sums = new Map<EndpointName, PeerSum>();
+  const peers = createPeerReports();
   const listeners: (() => void)[] = [];
   let ownReads: OwnRead[] = [];
 
@@ -184,29 +161,6 @@
     return created;
   }
 
-  function addReports(reports: LoadReports, factor: 1 | -1): void {
-    for (const [endpoint, load] of Object.entries(reports)) {
-      const sum = sums.get(endpoint) ??
-        { calls: 0, readTokens: 0, lateTokens: 0 };
-      sum.calls += factor * load.calls;
-      sum.readTokens += factor * load.readTokens;
-      sum.lateTokens += factor * load.lateTokens;
-      // What is left of tokens without calls comes from rounding.
-      if (sum.calls === 0) sums.delete(endpoint);
-      else sums.set(endpoint, sum);
-    }
-  }
-
-  function removeOldReports(): void {
-    const oldestMs = performance.now() - maxReportAgeMs;
-    for (const [name, peer] of peers) {
-      // Newer reports stand behind older ones.
-      if (peer.takenMs >= oldestMs) return;
-      peers.delete(name);
-      addReports(peer.reports, -1);
-    }
-  }
-
   function tellListeners(): void {
     for (const listener of listeners) listener();
   }
@@ -289,8 +243,7 @@
     },
     getLoad(endpoint): EndpointLoad {
       const entry = own.get(endpoint);
-      removeOldReports();
-      const sum = sums.get(endpoint);
+      const sum = peers.get(endpoint);
       return {
         calls: (entry?.calls ?? 0) + (sum?.calls ?? 0),
         readTokens: (entry?.readTokens ?? 0) + (sum?.readTokens ?? 0),
@@ -344,11 +297,7 @@
     },
     takeReports(instance, { loads, reads, down }): void {
       const nowMs = performance.now();
-      const former = peers.get(instance);
-      if (former) addReports(former.reports, -1);
-      peers.delete(instance);
-      peers.set(instance, { takenMs: nowMs, reports: loads });
-      addReports(loads, 1);
+      peers.take(instance, loads);
       for (const [endpoint, ids] of Object.entries(reads.sent)) {
         noteSeen(getEntry(endpoint), ids, { computed: false });
       }
@@ -362,7 +311,6 @@
           nowMs + Math.min(leftMs, longestSuspensionMs),
         );
       }
-      removeOldReports();
     },
     forget(endpoint): void {
       const entry = own.get(endpoint);
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -11,8 +11,6 @@
   createEndpointBoard,
   type DownNotes,
   type EndpointBoard,
-  type EndpointLoad,
-  type LoadReports,
   type OpenCall,
   type ReadNotes,
   type ReadReports,
@@ -38,6 +36,7 @@
   type KeepRolesOptions,
   type RoleKeeper,
 } from "./keep_roles.ts";
+export { type EndpointLoad, type LoadReports } from "./peer_reports.ts";
 export {
   createPeerBook,
   type PeerAddress,
--- a/packages/core/src/process/fleet/peer_book.ts
+++ b/packages/core/src/process/fleet/peer_book.ts
@@ -1,9 +1,10 @@
 /** The other instances as this one hears them. */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
-import type { DownNotes, LoadReports, ReadReports } from "./endpoint_board.ts";
+import type { DownNotes, ReadReports } from "./endpoint_board.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
+import type { LoadReports } from "./peer_reports.ts";
 
 /** An instance as it registers in the store. */
 export interface PeerAddress {
