Show how long digests travel and how much they carry

Digests carry the time of their sending on the sender's monotonic clock; the receiver takes the excess over the smallest difference as the delay (events 823, 824, a histogram). Bytes of digests are counted by own, relayed and received, and the delay of a periodic timer shows a blocked event loop (event 864, a histogram). No decision uses them yet.

--- a/packages/core/src/process/fleet/events.ts
+++ b/packages/core/src/process/fleet/events.ts
@@ -120,4 +120,14 @@
     severity: Severity.Info,
     message: "instance stops reading the store and relies on its peers' reads",
   },
+  peerDelayed: {
+    number: 823,
+    severity: Severity.Warning,
+    message: "digests of an instance arrive late",
+  },
+  peerPunctual: {
+    number: 824,
+    severity: Severity.Info,
+    message: "digests of an instance arrive without delay again",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -6,6 +6,7 @@
   type DutyOptions,
   type DutyTerm,
 } from "./duty.ts";
+export { createDigestDelays, type DigestDelays } from "./digest_delays.ts";
 export {
   CallEnd,
   createEndpointTracker,
--- a/packages/node/src/entry/events.ts
+++ b/packages/node/src/entry/events.ts
@@ -61,4 +61,9 @@
     severity: Severity.Warning,
     message: "log lines were dropped",
   },
+  eventLoopBlocked: {
+    number: 864,
+    severity: Severity.Warning,
+    message: "event loop was blocked",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -5,6 +5,7 @@
  */
 import {
   buildRouteIndex,
+  createDigestDelays,
   createEndpointList,
   createEndpointTracker,
   createPeerRegistry,
@@ -58,6 +59,8 @@
   readonly onVersion: (version: RouteIndex) => void;
   /** Called after a change that other instances should receive without delay. */
   readonly onUpdate: () => void;
+  /** Called with the transit delay of each accepted digest, in ms. */
+  readonly onDigestDelay: (delayMs: number) => void;
   /** A stopping instance reads the store itself. */
   readonly isStopping: () => boolean;
   readonly logEvent: LogEvent;
@@ -76,6 +79,8 @@
 const maxMissedReads = 2;
 /** Time after the start in which every instance reads the list of instances itself, in ms; instances that start together register within this time. */
 const discoveryMs = 5_000;
+/** Transit delay of digests above which their sender counts as delayed, in ms: far above the round trips and batch delays. */
+const lateDigestMs = 1_000;
 /** Age that digests report for a list that was never read, in ms. */
 const neverReadAgeMs = 1e9;
 
@@ -90,6 +95,8 @@
   const intervalMs = settings.leaving_ms / readsPerLeavingTime;
   const endpointTracker = createEndpointTracker({ logEvent });
   const peers = createPeerRegistry({ instance: settings.instance, logEvent });
+  const digestDelays = createDigestDelays();
+  const delayedPeers = new Set<string>();
   const endpoints = createEndpointList({
     getSinceRecoveryMs: () => endpointTopic.getSinceRecoveryMs(),
     onReplaced(endpoint): void {
@@ -196,6 +203,20 @@
     return canReplaceStale || (!isReader() && digest.listChanged > next);
   }
 
+  /** Measures a digest's transit delay and logs when its sender becomes late or punctual. */
+  function recordDelay(digest: PeerDigest): void {
+    const delayMs = digestDelays.measure(digest);
+    options.onDigestDelay(delayMs);
+    const late = delayMs > lateDigestMs;
+    if (late === delayedPeers.has(digest.name)) return;
+    if (late) delayedPeers.add(digest.name);
+    else delayedPeers.delete(digest.name);
+    logEvent(late ? fleetEvents.peerDelayed : fleetEvents.peerPunctual, {
+      instance: digest.name,
+      delayMs: Math.round(delayMs),
+    });
+  }
+
   /** Advances offset and age of the own list if a peer has read further and found no change since the own offset. */
   function applyUnchanged(digest: PeerDigest): void {
     const { next } = endpoints.getOffsets();
@@ -258,6 +279,7 @@
     getListAgeMs: () => endpointTopic.getAgeMs(),
     acceptDigest(digest, fetchState): void {
       if (!peers.acceptDigest(digest)) return;
+      recordDelay(digest);
       endpointTracker.applyReports(digest.name, digest);
       applyUnchanged(digest);
       if (!fetching && isBehind(digest)) void mergeState(digest, fetchState);
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -3,6 +3,7 @@
 import type { ForwardEnd } from "@trefoildoor/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { listen } from "./front_server.ts";
+import type { DigestTraffic } from "./peer_link.ts";
 
 /** Records the metrics of one process. */
 export interface EntryMetrics {
@@ -14,6 +15,9 @@
     },
   ) => void;
   readonly recordStoreCall: (call: string) => void;
+  readonly recordDigestBytes: (traffic: DigestTraffic, bytes: number) => void;
+  readonly recordDigestDelay: (delayMs: number) => void;
+  readonly recordLoopDelay: (delayMs: number) => void;
   readonly recordEvent: (event: number) => void;
   readonly close: () => void;
 }
@@ -74,6 +78,24 @@
     labelNames: ["event"],
     registers,
   });
+  const digestBytes = new Counter({
+    name: "trefoildoor_digest_bytes_total",
+    help: "Bytes of digests of instances: own and relayed ones sent, received",
+    labelNames: ["traffic"],
+    registers,
+  });
+  const digestDelaySeconds = new Histogram({
+    name: "trefoildoor_digest_delay_seconds",
+    help: "Transit delay of received digests beyond the smallest one",
+    buckets,
+    registers,
+  });
+  const loopDelaySeconds = new Histogram({
+    name: "trefoildoor_event_loop_delay_seconds",
+    help: "Delay of a periodic timer, as a sign of a blocked event loop",
+    buckets,
+    registers,
+  });
   addGauges(registers, options.readGauges);
   const server = address === undefined ? undefined : createServer(
     (request, response) => {
@@ -100,6 +122,11 @@
       }
     },
     recordStoreCall: (call) => storeCalls.inc({ call }),
+    recordDigestBytes: (traffic, bytes) => digestBytes.inc({ traffic }, bytes),
+    recordDigestDelay: (delayMs) =>
+      digestDelaySeconds.observe(delayMs / msPerSecond),
+    recordLoopDelay: (delayMs) =>
+      loopDelaySeconds.observe(delayMs / msPerSecond),
     recordEvent: (event) => events.inc({ event }),
     close(): void {
       server?.close();
--- a/packages/node/src/entry/peer_link.steps.ts
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -55,6 +55,7 @@
     address,
     start,
     sequence,
+    sentMs: 0,
     version: 1,
     listNext: 0,
     listChanged: 0,
@@ -114,6 +115,7 @@
       receivedFrom.push(digest.name);
     },
     onFailure: (error) => assert.fail(String(error)),
+    onTraffic: () => undefined,
     signal: world.linkEnding.signal,
   });
   return {
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -35,6 +35,15 @@
   readonly close: () => void;
 }
 
+/** Why an instance sends or receives bytes of digests. */
+export enum DigestTraffic {
+  /** Sent: its own digests. */
+  Own = "own",
+  /** Sent: digests of others, relayed to the own failure domain. */
+  Relayed = "relayed",
+  Received = "received",
+}
+
 /** Dependencies and callbacks of the link. */
 export interface PeerLinkOptions {
   readonly failureDomain: string;
@@ -46,6 +55,8 @@
   readonly getState: () => FleetState;
   readonly onDigest: (digest: PeerDigest) => void;
   readonly onFailure: (error: unknown) => void;
+  /** Called with the size of each datagram. */
+  readonly onTraffic: (traffic: DigestTraffic, bytes: number) => void;
   readonly signal: AbortSignal;
 }
 
@@ -96,12 +107,18 @@
       liveNames: new Set(options.peers.listLive().map(({ name }) => name)),
       rotation,
     });
-    for (const { address } of direct) sendTo(address, plain);
-    for (const { address } of relays) sendTo(address, relayed);
+    const traffic = DigestTraffic.Own;
+    for (const { address } of direct) sendTo(address, plain, { traffic });
+    for (const { address } of relays) sendTo(address, relayed, { traffic });
   }
 
-  function sendTo(address: string, message: Buffer): void {
+  function sendTo(
+    address: string,
+    message: Buffer,
+    { traffic }: { readonly traffic: DigestTraffic },
+  ): void {
     const [host = "", port = ""] = address.split(":");
+    options.onTraffic(traffic, message.length);
     socket.send(message, Number(port), host, (error) => {
       if (error) options.onFailure(error);
     });
@@ -135,7 +152,9 @@
       messages.push(Buffer.from(JSON.stringify(batch)));
     }
     for (const { address } of listDomainPeers()) {
-      for (const message of messages) sendTo(address, message);
+      for (const message of messages) {
+        sendTo(address, message, { traffic: DigestTraffic.Relayed });
+      }
     }
   }
 
@@ -194,6 +213,7 @@
   const [host = "", port = ""] = options.address.split(":");
   const socket = createSocket("udp4");
   socket.on("message", (message) => {
+    options.onTraffic(DigestTraffic.Received, message.length);
     const parsed = parseDigests(message);
     if (!parsed) {
       return options.onFailure(
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -30,6 +30,7 @@
 import { openPeerLink, type PeerLink } from "./peer_link.ts";
 import type { EntryPlatform, StoreTopics } from "./platform.ts";
 import type { EntrySettings } from "./settings.ts";
+import { watchEventLoop } from "./watch_event_loop.ts";
 
 /** A running entry. */
 export interface Entry {
@@ -147,10 +148,16 @@
     channels,
     onVersion: ({ limits }) => state.front?.applyLimits(limits),
     onUpdate: () => state.peerLink?.scheduleDigest(),
+    onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
     logEvent,
     signal: shutdown.signal,
   });
+  watchEventLoop({
+    onDelay: metrics.recordLoopDelay,
+    logEvent,
+    signal: shutdown.signal,
+  });
   const roles = startRoles({
     settings,
     platform,
@@ -253,6 +260,7 @@
   const buildDigest = (): PeerDigest => ({
     start,
     sequence: sequence += 1,
+    sentMs: Math.round(performance.now()),
     name: settings.instance,
     address: settings.peers,
     failureDomain: settings.failure_domain,
@@ -277,6 +285,7 @@
     },
     onFailure: (error) =>
       options.logEvent(entryEvents.linkFailed, { error: String(error) }),
+    onTraffic: running.metrics.recordDigestBytes,
     signal: shutdown.signal,
   });
 }
