--- a/packages/core/src/process/fleet/follow_topic.feature
+++ b/packages/core/src/process/fleet/follow_topic.feature
@@ -93,3 +93,12 @@
     And another instance has read up to offset 1, 10 ms ago
     And 1000 ms pass for the topic
     Then the topic has been steady for Infinity ms
+
+  Scenario: News that is late is no outage of the store (DRAIN)
+    Given a topic with the records "a" that is followed every 100 ms
+    When 50 ms pass for the topic
+    And reads of the topic are not needed
+    And 3000 ms pass for the topic
+    And reads of the topic are needed
+    And 200 ms pass for the topic
+    Then the topic has been steady for Infinity ms
--- /dev/null
+++ b/packages/node/src/entry/fleet_view.feature
@@ -0,0 +1,14 @@
+Feature: The list of endpoints counts as fresh only for as long as its news is
+
+  Scenario: A delayed digest does not hide that an endpoint is leaving (DRAIN)
+    Given an instance that relies on the reads of "a1" and lists "engine-1"
+    When the digests of "a1" take 500 ms longer each second, up to 2500 ms
+    And 8000 ms pass for the instance
+    And "engine-1" is leaving
+    And 3000 ms pass for the instance
+    Then the instance sends "engine-1" no new work
+
+  Scenario: Digests without delay spare an instance its own reads
+    Given an instance that relies on the reads of "a1" and lists "engine-1"
+    When 10000 ms pass for the instance
+    Then the instance has not read the list for 4000 ms
