Share the relaying of digests among a third of a failure domain

Cause: three instances of a domain, the first by name, relayed the digests of the whole fleet to all other members. What each of them sent grew with the product of fleet and domain. Class of fault: work that is concentrated by a fixed rule, whose cost for one instance grows with the fleet.

Readers with wide links relayed as much without an alert.

Change: a third of a domain's members relay in rotation, at least three, so what one instance sends does not grow with the domain.

Ruled out: relaying by all members, which makes as many datagrams as members.

--- /dev/null
+++ b/packages/node/src/entry/digest_codec.ts
@@ -0,0 +1,58 @@
+/**
+ * Encodes digests as datagrams: JSON, compressed with a dictionary of the names
+ * that every digest contains. Plain JSON is accepted as well.
+ */
+import { deflateSync, inflateSync } from "node:zlib";
+import type { PeerDigest } from "@trefoildoor/core";
+
+/** A digest as sent in a datagram. */
+export interface RelayedDigest extends PeerDigest {
+  /** Whether the receiver relays it within its own failure domain. */
+  readonly relay?: boolean;
+}
+
+/** Part of the wire format: both ends must use the same bytes. */
+const dictionary = Buffer.from(
+  '"stopping":false,"relay":true,"update":{"from":,"records":[{"key":"i-' +
+    '","value":{"name":"service":"address":"failureDomain":"slots":64,' +
+    '"leaving":true,"role":"prefill","role":"decode","startedAtMs":' +
+    '"down":{},"changing":[],"reads":{"sent":{"computed":{"i-' +
+    '"loads":{"i-":{"calls":1,"readTokens":0,"lateTokens":0},' +
+    '{"start":"","sequence":,"sentMs":,"name":"","address":"10.","failureDomain":"' +
+    '","version":,"listNext":,"listChanged":,"listAgeMs":,"readsStore":false,',
+);
+const compression = { level: 1, dictionary };
+/** Size limit of decoded datagrams, in bytes: far above any batch, and far below what a crafted one could expand to. */
+const maxDecodedBytes = 4 * 1_048_576;
+/** First byte of a compressed datagram; JSON begins with a bracket. */
+const compressedMark = 0x78;
+
+/** Encodes digests as one datagram. */
+export function encodeDigests(digests: readonly RelayedDigest[]): Buffer {
+  return deflateSync(JSON.stringify(digests), compression);
+}
+
+/** Undefined for a malformed datagram. Only the main fields are checked, since digests come from the system's own instances. */
+export function decodeDigests(
+  message: Buffer,
+): readonly RelayedDigest[] | undefined {
+  try {
+    const text = message[0] === compressedMark
+      ? inflateSync(message, { dictionary, maxOutputLength: maxDecodedBytes })
+      : message;
+    const parsed: unknown = JSON.parse(text.toString());
+    const digests: readonly unknown[] = Array.isArray(parsed)
+      ? parsed
+      : [parsed];
+    return digests.every(isDigest) ? digests : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isDigest(digest: unknown): digest is RelayedDigest {
+  if (typeof digest !== "object" || digest === null) return false;
+  const { name, address, loads } = digest as Partial<PeerDigest>;
+  return typeof name === "string" && typeof address === "string" &&
+    typeof loads === "object";
+}
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -18,6 +18,7 @@
   waitFor,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
+import { decodeDigests, encodeDigests } from "./digest_codec.ts";
 import { listen } from "./front_server.ts";
 import { chooseTargets, maxDirectMembers } from "./peer_targets.ts";
 
@@ -60,19 +61,13 @@
   readonly signal: AbortSignal;
 }
 
-/** A digest as sent in a datagram. */
-interface RelayedDigest extends PeerDigest {
-  /** Whether the receiver relays it within its own failure domain. */
-  readonly relay?: boolean;
-}
-
 /** Batch delay of load changes, in ms, for each `instancesPerBatchDelay` instances: the number of datagrams grows with the instances. */
 const batchDelayMs = 40;
 const instancesPerBatchDelay = 12;
 const heartbeatMs = 1_000;
 /** Batch delay of relayed digests in a large domain, in ms. */
 const relayBatchDelayMs = 200;
-/** Maximum number of digests in one datagram: about 10 KB, far below the size limit of a datagram. */
+/** Maximum number of digests in one datagram: a few KB, far below the size limit of a datagram. */
 const maxDigestsPerDatagram = 32;
 const maxInitialRotation = 1_024;
 const stateTimeoutMs = 700;
@@ -99,8 +94,8 @@
   function sendDigest(): void {
     sentMs = performance.now();
     const digest = options.buildDigest();
-    const plain = Buffer.from(JSON.stringify(digest));
-    const relayed = Buffer.from(JSON.stringify({ ...digest, relay: true }));
+    const plain = encodeDigests([digest]);
+    const relayed = encodeDigests([{ ...digest, relay: true }]);
     rotation += 1;
     const { direct, relays } = chooseTargets(options.peers.listRegistered(), {
       failureDomain: options.failureDomain,
@@ -149,7 +144,7 @@
       index += maxDigestsPerDatagram
     ) {
       const batch = digests.slice(index, index + maxDigestsPerDatagram);
-      messages.push(Buffer.from(JSON.stringify(batch)));
+      messages.push(encodeDigests(batch));
     }
     for (const { address } of listDomainPeers()) {
       for (const message of messages) {
@@ -214,7 +209,7 @@
   const socket = createSocket("udp4");
   socket.on("message", (message) => {
     options.onTraffic(DigestTraffic.Received, message.length);
-    const parsed = parseDigests(message);
+    const parsed = decodeDigests(message);
     if (!parsed) {
       return options.onFailure(
         new Error("digest of an instance is malformed"),
@@ -235,26 +230,6 @@
   });
 }
 
-/** Undefined for a malformed datagram. Only the main fields are checked, since digests come from the system's own instances. */
-function parseDigests(message: Buffer): readonly RelayedDigest[] | undefined {
-  try {
-    const parsed: unknown = JSON.parse(message.toString());
-    const digests: readonly unknown[] = Array.isArray(parsed)
-      ? parsed
-      : [parsed];
-    return digests.every(isDigest) ? digests : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-function isDigest(digest: unknown): digest is RelayedDigest {
-  if (typeof digest !== "object" || digest === null) return false;
-  const { name, address, loads } = digest as Partial<PeerDigest>;
-  return typeof name === "string" && typeof address === "string" &&
-    typeof loads === "object";
-}
-
 async function fetchState(
   address: string,
   options: PeerLinkOptions,
--- a/packages/node/src/entry/peer_targets.ts
+++ b/packages/node/src/entry/peer_targets.ts
@@ -15,8 +15,13 @@
 
 /** Maximum number of other members of the own domain for sending to each directly: a dozen datagrams for each change are cheap. */
 export const maxDirectMembers = 8;
-/** Instances of a domain that relay digests in rotation: one may have failed, and the load on a slow network link is shared. */
-const relaysPerDomain = 3;
+/** Minimum number of instances of a domain that relay digests in rotation, as one may have failed. */
+const minRelays = 3;
+/**
+ * Members of a domain for each instance that relays. The number of relays grows
+ * with the domain, so that what each one sends does not.
+ */
+const membersPerRelay = 3;
 
 /** Chooses the receivers among the registered instances; successive values of `rotation` rotate the relays. */
 export function chooseTargets(
@@ -49,7 +54,7 @@
   const relays = [...domains.values()].flatMap((members) => {
     const candidates = members
       .toSorted((left, right) => left.name < right.name ? -1 : 1)
-      .slice(0, relaysPerDomain);
+      .slice(0, Math.max(minRelays, members.length / membersPerRelay));
     return candidates[rotation % candidates.length] ?? [];
   });
   return { direct, relays };
