Count the transit time of digests in the age of the list

Cause: a digest says how old its sender's list was when it was sent. The receiver took that age as of the arrival, so news that waited on a full link, or in the socket of a slow process, counted as fresh and the instance did not read the store itself. Class of fault: a freshness that is passed on without the time it travels.

Change: the transit delay, estimated without comparing clocks, and the time that a fetch of the state takes are added to the age.

--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -203,32 +203,37 @@
     return canReplaceStale || (!isReader() && digest.listChanged > next);
   }
 
-  /** Measures a digest's transit delay and logs when its sender becomes late or punctual. */
-  function recordDelay(digest: PeerDigest): void {
+  /** Measures a digest's transit delay, returns it, and logs when its sender becomes late or punctual. */
+  function recordDelay(digest: PeerDigest): number {
     const delayMs = digestDelays.measure(digest);
     options.onDigestDelay(delayMs);
     const late = delayMs > lateDigestMs;
-    if (late === delayedPeers.has(digest.name)) return;
+    if (late === delayedPeers.has(digest.name)) return delayMs;
     if (late) delayedPeers.add(digest.name);
     else delayedPeers.delete(digest.name);
     logEvent(late ? fleetEvents.peerDelayed : fleetEvents.peerPunctual, {
       instance: digest.name,
       delayMs: Math.round(delayMs),
     });
+    return delayMs;
   }
 
   /** Advances offset and age of the own list if a peer has read further and found no change since the own offset. */
-  function applyUnchanged(digest: PeerDigest): void {
+  function applyUnchanged(digest: PeerDigest, listAgeMs: number): void {
     const { next } = endpoints.getOffsets();
     if (digest.listNext < next || digest.listChanged > next) return;
     endpoints.advanceTo(digest.listNext);
-    endpointTopic.advanceTo(digest.listNext, digest.listAgeMs);
+    endpointTopic.advanceTo(digest.listNext, listAgeMs);
   }
 
   async function mergeState(
     digest: PeerDigest,
-    fetchState: (address: string) => Promise<FleetState>,
+    { listAgeMs, fetchState }: {
+      readonly listAgeMs: number;
+      readonly fetchState: (address: string) => Promise<FleetState>;
+    },
   ): Promise<void> {
+    const startedMs = performance.now();
     fetching = true;
     try {
       const state = await fetchState(digest.address);
@@ -237,7 +242,10 @@
       }
       const acceptsList = !isReader() || endpointTopic.getAgeMs() > staleListMs;
       if (acceptsList && endpoints.merge(state.endpoints)) {
-        endpointTopic.advanceTo(state.endpoints.next, digest.listAgeMs);
+        endpointTopic.advanceTo(
+          state.endpoints.next,
+          listAgeMs + performance.now() - startedMs,
+        );
         logEvent(fleetEvents.peerStateAccepted, {
           instance: digest.name,
           listNext: state.endpoints.next,
@@ -279,10 +287,13 @@
     getListAgeMs: () => endpointTopic.getAgeMs(),
     acceptDigest(digest, fetchState): void {
       if (!peers.acceptDigest(digest)) return;
-      recordDelay(digest);
+      // The list has aged while the digest was in transit.
+      const listAgeMs = digest.listAgeMs + recordDelay(digest);
       endpointTracker.applyReports(digest.name, digest);
-      applyUnchanged(digest);
-      if (!fetching && isBehind(digest)) void mergeState(digest, fetchState);
+      applyUnchanged(digest, listAgeMs);
+      if (!fetching && isBehind(digest)) {
+        void mergeState(digest, { listAgeMs, fetchState });
+      }
     },
   };
 }
