Send changes of the list to the own failure domain with the digest

Cause: after each change of the list, all members of a domain fetched the whole state, configuration included, from the instance that told of it, at the same moment.

A read of the whole list that such an update overtook is dropped.

--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -63,3 +63,8 @@
     When the store comes back after an outage
     And the store removes "e1"
     Then the list has changed up to offset 4 and is read up to offset 4
+
+  Scenario: A whole list that was overtaken by newer changes is dropped
+    When another instance knows "e1, e4" up to offset 90
+    And the store is read anew and shows "e1, e2"
+    Then the endpoints that take work are "e1, e4"
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -134,6 +134,8 @@
         endpoint.service === service && !endpoint.leaving
       ),
     apply(page): void {
+      // A peer's update may have arrived while this older state was read.
+      if (page.whole && page.next < next) return;
       if (page.whole) {
         const listed = new Set(page.records.map(({ key }) => key));
         for (const name of [...entries.keys()]) {
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -37,6 +37,11 @@
   type ReconcileRolesOptions,
   type RoleReconciler,
 } from "./keep_roles.ts";
+export {
+  createListUpdates,
+  type ListUpdate,
+  type ListUpdates,
+} from "./list_updates.ts";
 export { type EndpointLoad, type LoadReports } from "./peer_reports.ts";
 export {
   createPeerRegistry,
--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -4,6 +4,7 @@
 import type { DownEndpoints, PartReports } from "./endpoint_tracker.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
+import type { ListUpdate } from "./list_updates.ts";
 import type { LoadReports } from "./peer_reports.ts";
 
 /** Registration of an instance in the store. */
@@ -38,6 +39,8 @@
   readonly changing: readonly ChangingEngine[];
   /** Whether the instance is shutting down. */
   readonly stopping: boolean;
+  /** Recent changes of the list, sent by the instance that reads the store to the others of its failure domain. */
+  readonly update?: ListUpdate;
 }
 
 /** Registered instances and the newest digest of each live one. */
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -13,6 +13,7 @@
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
 import { createChannels } from "./channels.ts";
 import { type FleetView, openFleetView } from "./fleet_view.ts";
+import type { FleetState } from "./peer_link.ts";
 import { entrySettingsSchema } from "./settings.ts";
 
 /** State of one scenario. */
@@ -36,6 +37,12 @@
   delayGrowthMs: number;
   maxDelayMs: number;
   sequence: number;
+  /** Whether its digests are lost. */
+  silent: boolean;
+  /** Whether another instance can fetch its state. */
+  handsOverState: boolean;
+  /** Offset from which on its digests contain the changes; undefined if they contain none. */
+  updateFrom: number | undefined;
 }
 
 const readIntervalMs = 1_000;
@@ -106,6 +113,10 @@
     down: {},
     changing: [],
     stopping: false,
+    update: reader.updateFrom === undefined ? undefined : {
+      from: reader.updateFrom,
+      records: listRecords.slice(reader.updateFrom),
+    },
   };
 }
 
@@ -115,17 +126,23 @@
   while (!signal.aborted) {
     const digest = buildReaderDigest(world);
     const endpoints = world.listRecords.flatMap(({ value }) => value ?? []);
-    setTimeout(() => {
-      world.view.acceptDigest(digest, () =>
-        Promise.resolve({
+    const fetchState = (): Promise<FleetState> =>
+      reader.handsOverState
+        ? Promise.resolve({
           endpoints: {
             next: digest.listNext,
             changed: digest.listChanged,
             endpoints,
             lapsed: [],
           },
-        }));
-    }, reader.delayMs);
+        })
+        : Promise.reject(new Error("state is not handed over"));
+    if (!reader.silent) {
+      setTimeout(
+        () => world.view.acceptDigest(digest, fetchState),
+        reader.delayMs,
+      );
+    }
     reader.delayMs = Math.min(
       reader.delayMs + reader.delayGrowthMs,
       reader.maxDelayMs,
@@ -154,6 +171,9 @@
       delayGrowthMs: 0,
       maxDelayMs: usualDelayMs,
       sequence: 0,
+      silent: false,
+      handsOverState: true,
+      updateFrom: undefined,
     };
     this.view = openFleetView({
       settings: entrySettingsSchema.parse({
@@ -174,6 +194,7 @@
       channels: createChannels(),
       onVersion: () => undefined,
       onUpdate: () => undefined,
+      onListRead: () => undefined,
       onDigestDelay: () => undefined,
       isStopping: () => false,
       logEvent: () => undefined,
@@ -197,6 +218,29 @@
   },
 );
 
+When(
+  "{string} sends its changes with its digests and hands over no state",
+  function (this: ViewWorld, _name: string): void {
+    this.simulatedReader.updateFrom = this.listRecords.length;
+    this.simulatedReader.handsOverState = false;
+  },
+);
+
+When(
+  "{string} sends only its newest change with its digests",
+  function (this: ViewWorld, _name: string): void {
+    this.simulatedReader.silent = false;
+    this.simulatedReader.updateFrom = this.listRecords.length;
+  },
+);
+
+When(
+  "the digests of {string} are lost",
+  function (this: ViewWorld, _name: string): void {
+    this.simulatedReader.silent = true;
+  },
+);
+
 When("{string} is leaving", function (this: ViewWorld, name: string): void {
   this.listRecords.push({
     key: name,
@@ -226,3 +270,11 @@
     assert.ok(performance.now() - this.listReadMs >= ms);
   },
 );
+
+Then(
+  "the instance lists {string}",
+  function (this: ViewWorld, names: string): void {
+    const listed = this.view.endpoints.listAll().map(({ name }) => name);
+    assert.equal(listed.toSorted().join(", "), names);
+  },
+);
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -8,12 +8,14 @@
   createDigestDelays,
   createEndpointList,
   createEndpointTracker,
+  createListUpdates,
   createPeerRegistry,
   type EndpointList,
   type EndpointTracker,
   fleetEvents,
   type FollowedTopic,
   followTopic,
+  type ListUpdate,
   type LogEvent,
   type PeerDigest,
   type PeerRegistry,
@@ -59,6 +61,8 @@
   readonly onVersion: (version: RouteIndex) => void;
   /** Called after a change that other instances should receive without delay. */
   readonly onUpdate: () => void;
+  /** Called after each read of the list by this instance, with its recent changes. */
+  readonly onListRead: (update: ListUpdate | undefined) => void;
   /** Called with the transit delay of each accepted digest, in ms. */
   readonly onDigestDelay: (delayMs: number) => void;
   /** A stopping instance reads the store itself. */
@@ -96,6 +100,7 @@
   const endpointTracker = createEndpointTracker({ logEvent });
   const peers = createPeerRegistry({ instance: settings.instance, logEvent });
   const digestDelays = createDigestDelays();
+  const listUpdates = createListUpdates();
   const delayedPeers = new Set<string>();
   const endpoints = createEndpointList({
     getSinceRecoveryMs: () => endpointTopic.getSinceRecoveryMs(),
@@ -181,9 +186,13 @@
     intervalMs,
     longPollMs: 0,
     onPage: (page) => {
+      const before = endpoints.getOffsets();
       endpoints.apply(page);
-      // The digest confirms to other instances that their list is current as of this read.
-      options.onUpdate();
+      listUpdates.add(page, {
+        from: before.next,
+        changed: endpoints.getOffsets().changed !== before.changed,
+      });
+      options.onListRead(listUpdates.get());
     },
     isNeeded: isReader,
     onFailure(): void {
@@ -218,6 +227,19 @@
     return delayMs;
   }
 
+  /** Applies the changes that a digest contains, unless changes before them are missing. */
+  function applyUpdate(digest: PeerDigest, listAgeMs: number): void {
+    const { next } = endpoints.getOffsets();
+    const { update, listNext } = digest;
+    if (!update || update.from > next || listNext <= next) return;
+    endpoints.apply({
+      records: update.records.filter(({ offset }) => offset >= next),
+      next: listNext,
+      whole: false,
+    });
+    endpointTopic.advanceTo(listNext, listAgeMs);
+  }
+
   /** Advances offset and age of the own list if a peer has read further and found no change since the own offset. */
   function applyUnchanged(digest: PeerDigest, listAgeMs: number): void {
     const { next } = endpoints.getOffsets();
@@ -290,6 +312,7 @@
       // The list has aged while the digest was in transit.
       const listAgeMs = digest.listAgeMs + recordDelay(digest);
       endpointTracker.applyReports(digest.name, digest);
+      applyUpdate(digest, listAgeMs);
       applyUnchanged(digest, listAgeMs);
       if (!fetching && isBehind(digest)) {
         void mergeState(digest, { listAgeMs, fetchState });
--- a/packages/node/src/entry/peer_link.feature
+++ b/packages/node/src/entry/peer_link.feature
@@ -24,3 +24,9 @@
   Scenario: After a start the count begins anew
     When "a1" hears digest 7 of "b1" and digest 1 of its next start
     Then it takes the digests 7 and 1
+
+  Scenario: Changes of the list go at once to the own failure domain only
+    When every instance has heard the others
+    And "a1" has read changes of the list
+    Then "a2" hears of the changes within 500 ms
+    And no instance of another failure domain hears of them
--- a/packages/node/src/entry/peer_link.steps.ts
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -23,6 +23,8 @@
   readonly link: PeerLink;
   /** Senders of the received digests. */
   readonly receivedFrom: string[];
+  /** Senders of the digests that contained changes of the list. */
+  readonly updatesFrom: string[];
   /** Sequence numbers of the digests that were accepted. */
   readonly taken: number[];
 }
@@ -97,6 +99,7 @@
     logEvent: () => undefined,
   });
   const receivedFrom: LinkedInstance["receivedFrom"] = [];
+  const updatesFrom: LinkedInstance["updatesFrom"] = [];
   let sequence = 0;
   const link = await openPeerLink({
     failureDomain,
@@ -113,6 +116,7 @@
     onDigest: (digest) => {
       peers.acceptDigest(digest);
       receivedFrom.push(digest.name);
+      if (digest.update) updatesFrom.push(digest.name);
     },
     onFailure: (error) => assert.fail(String(error)),
     onTraffic: () => undefined,
@@ -125,6 +129,7 @@
     peers,
     link,
     receivedFrom,
+    updatesFrom,
     taken: [],
   };
 }
@@ -300,3 +305,30 @@
     assert.deepEqual(getLinked(this, "a1").taken, [first, second]);
   },
 );
+
+When(
+  "{string} has read changes of the list",
+  function (this: LinkWorld, name: string): void {
+    getLinked(this, name).link.sendUpdate({ from: 3, records: [] });
+  },
+);
+
+Then(
+  "{string} hears of the changes within {int} ms",
+  async function (this: LinkWorld, name: string, ms: number): Promise<void> {
+    const { updatesFrom } = getLinked(this, name);
+    await waitUntil("changes are heard", () => updatesFrom.length > 0, {
+      deadlineMs: ms,
+    });
+  },
+);
+
+Then(
+  "no instance of another failure domain hears of them",
+  function (this: LinkWorld): void {
+    const others = (this.linked ?? []).filter(({ name }) =>
+      name.startsWith("b")
+    );
+    assert.ok(others.every(({ updatesFrom }) => updatesFrom.length === 0));
+  },
+);
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -11,6 +11,7 @@
 import { createServer, type Server } from "node:http";
 import {
   type EndpointSnapshot,
+  type ListUpdate,
   type PeerAddress,
   type PeerDigest,
   type PeerRegistry,
@@ -32,6 +33,8 @@
 export interface PeerLink {
   /** Schedules a digest; changes within the batch delay share one. */
   readonly scheduleDigest: () => void;
+  /** Sends the own failure domain a digest at once and directly, with changes of the list of endpoints. */
+  readonly sendUpdate: (update: ListUpdate | undefined) => void;
   readonly fetchState: (address: string) => Promise<FleetState>;
   readonly close: () => void;
 }
@@ -177,6 +180,12 @@
         sendDigest();
       }, getBatchDelayMs());
     },
+    sendUpdate(update): void {
+      const message = encodeDigests([{ ...options.buildDigest(), update }]);
+      for (const { address } of listDomainPeers()) {
+        sendTo(address, message, { traffic: DigestTraffic.Own });
+      }
+    },
     fetchState: (address) => fetchState(address, options),
     close(): void {
       clearTimeout(digestTimer);
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -148,6 +148,7 @@
     channels,
     onVersion: ({ limits }) => state.front?.applyLimits(limits),
     onUpdate: () => state.peerLink?.scheduleDigest(),
+    onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
     logEvent,
