Look once more whether the caller is there before each send

Cause, beside full links: a process that was blocked or late reads a caller's request, or an engine's answer, before it sees in the same turn that the caller has left, and sends on at once. A caller's FIN aborted the call only when the response closed, some turns of the event loop later.

In the users' records the time is dominated by full links, so how much of GONE this part made there is only suspected.

--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -10,6 +10,21 @@
 
 const releaseTimeoutMs = 1_000;
 
+/**
+ * Resolves after the event loop has polled all connections once more. A process
+ * that was blocked reads a caller's request before it sees that the caller has
+ * left in the meantime.
+ */
+async function waitForPoll(): Promise<void> {
+  // The first of the two runs before the next poll.
+  await waitForTurn();
+  await waitForTurn();
+}
+
+function waitForTurn(): Promise<void> {
+  return new Promise((resolve) => void setImmediate(resolve));
+}
+
 /** Creates the sender; a failed release of an exported prompt is logged and not retried. */
 export function createEndpointSender(
   codec: CallCodec,
@@ -22,6 +37,7 @@
       facts,
       { signal, maxIdleMs },
     ): Promise<EndpointAnswer> {
+      await waitForPoll();
       const request = codec.encodeSend(call, facts);
       const answer = await channels.exchange(facts.endpoint.address, {
         ...request,
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -188,7 +188,13 @@
 ): CallerAnswer {
   const left = new AbortController();
   let endsOnClose = false;
+  const { socket } = response;
+  const markLeft = (): void => left.abort();
+  // The response closes some turns of the event loop after the caller's side
+  // of the connection has ended.
+  socket?.once("end", markLeft);
   response.once("close", () => {
+    socket?.removeListener("end", markLeft);
     if (!response.writableFinished) left.abort();
   });
   return {
