Check that an endpoint still takes work when the request is sent

Cause: an endpoint was checked when it was chosen. Opening a connection takes up to 0.8 s, so news of its leaving that came in the meantime was ignored. Class of fault: a decision that is not confirmed at the time of its effect.

Change: the check is made once more on the open connection, before the first byte. A request that is stopped there counts as unsent and goes to another endpoint.

--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -27,6 +27,8 @@
   readonly get: (name: EndpointName) => ListedEndpoint | undefined;
   /** Endpoints of a service that accept new work. */
   readonly listAccepting: (service: ServiceName) => readonly ListedEndpoint[];
+  /** Whether the process that an entry describes is still listed and accepts new work. */
+  readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
   /** All endpoints, including leaving ones. */
   readonly listAll: () => readonly ListedEndpoint[];
   /** Applies records of the list's topic; with `whole`, endpoints without a record are removed. */
@@ -129,6 +131,11 @@
       return entries.get(name)?.endpoint;
     },
     listAll,
+    isAccepting(endpoint): boolean {
+      const listed = entries.get(endpoint.name)?.endpoint;
+      return listed !== undefined && !listed.leaving &&
+        !isRestart(listed, endpoint);
+    },
     listAccepting: (service) =>
       listAll().filter((endpoint) =>
         endpoint.service === service && !endpoint.leaving
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -19,6 +19,8 @@
   readonly signal?: AbortSignal;
   /** Longest time for which the connection may have been idle, in ms. */
   readonly maxIdleMs?: number;
+  /** Called when the connection is open and nothing is sent yet; false ends the request unsent. */
+  readonly isAllowed?: () => boolean;
 }
 
 /** A response whose head has arrived; its body is read as a stream. */
@@ -242,6 +244,7 @@
     }, {
       onRequestStart(started): void {
         body.controller = started;
+        if (request.isAllowed?.() === false) failExchange(createRefusal());
         if (ended) return started.abort(new Error("call was given up"));
         sent = true;
       },
@@ -294,6 +297,13 @@
   );
 }
 
+function createRefusal(): RemoteError {
+  return new RemoteError("endpoint takes no more work", {
+    failure: RemoteFailure.Refused,
+    effect: Effect.None,
+  });
+}
+
 /** Unread bytes of a response above which reading from the connection is paused. */
 const maxBufferedBytes = 128 * 1_024;
 
--- a/packages/node/src/entry/endpoint_sender.steps.ts
+++ b/packages/node/src/entry/endpoint_sender.steps.ts
@@ -4,9 +4,11 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
+  Effect,
   type EndpointSender,
   type ForwardCall,
   type ListedEndpoint,
+  RemoteError,
   waitFor,
 } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
@@ -23,6 +25,10 @@
   reached: string[];
   frontPort: number;
   answered: number;
+  endpointLeft: boolean;
+  unsent: boolean;
+  sender: EndpointSender;
+  endpoint: ListedEndpoint;
 }
 
 const service = "drafting";
@@ -48,7 +54,7 @@
   return port;
 }
 
-function createSender(channels: Channels): EndpointSender {
+function createSender(world: SenderWorld, channels: Channels): EndpointSender {
   return createEndpointSender({
     decodeCall: () => undefined,
     encodeSend: ({ method, target }) => ({ method, path: target, headers: [] }),
@@ -62,7 +68,11 @@
     }),
     decodeExport: () => undefined,
     encodeRelease: () => ({ method: "DELETE", path: "/", headers: [] }),
-  }, { channels, logEvent: () => undefined });
+  }, {
+    channels,
+    isAccepting: () => !world.endpointLeft,
+    logEvent: () => undefined,
+  });
 }
 
 function buildCall(target: string): ForwardCall {
@@ -97,7 +107,11 @@
     };
     const channels = createChannels();
     this.senderChannels = channels;
-    const sender = createSender(channels);
+    const sender = createSender(this, channels);
+    this.sender = sender;
+    this.endpoint = endpoint;
+    this.endpointLeft = false;
+    this.unsent = false;
     this.frontPort = await findFreePort();
     this.senderFront = await openFrontServer({
       address: `127.0.0.1:${this.frontPort}`,
@@ -152,6 +166,28 @@
   },
 );
 
+When(
+  "the endpoint leaves while a request to it is being prepared",
+  async function (this: SenderWorld): Promise<void> {
+    const { endpoint } = this;
+    const sent = this.sender.send(buildCall("/left"), {
+      endpoint,
+      leftMs: 1_000,
+      rank: 1,
+    }, { signal: new AbortController().signal });
+    this.endpointLeft = true;
+    await sent.catch((error: unknown) => {
+      this.unsent = error instanceof RemoteError &&
+        error.effect === Effect.None;
+    });
+    await waitFor(settleMs);
+  },
+);
+
+Then("the request counts as unsent", function (this: SenderWorld): void {
+  assert.ok(this.unsent);
+});
+
 Then(
   "the endpoint gets no request of that caller",
   function (this: SenderWorld): void {
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -2,6 +2,7 @@
 import type {
   EndpointAnswer,
   EndpointSender,
+  ListedEndpoint,
   LogEvent,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
@@ -28,9 +29,14 @@
 /** Creates the sender; a failed release of an exported prompt is logged and not retried. */
 export function createEndpointSender(
   codec: CallCodec,
-  options: { readonly channels: Channels; readonly logEvent: LogEvent },
+  options: {
+    readonly channels: Channels;
+    /** Whether an endpoint is still listed and takes new work. */
+    readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
+    readonly logEvent: LogEvent;
+  },
 ): EndpointSender {
-  const { channels, logEvent } = options;
+  const { channels, isAccepting, logEvent } = options;
   return {
     async send(
       call,
@@ -43,6 +49,8 @@
         ...request,
         signal,
         maxIdleMs,
+        // The endpoint may have left while the connection was being opened.
+        isAllowed: () => isAccepting(facts.endpoint),
       });
       return {
         head: codec.decodeHead(answer.status, answer.headers),
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -204,6 +204,7 @@
   return {
     sender: createEndpointSender(from.platform.codec, {
       channels: from.channels,
+      isAccepting: fleet.endpoints.isAccepting,
       logEvent,
     }),
     endpoints: fleet.endpoints,
