Rank a service's endpoints anew for each attempt in the daemon

What callers could see: the daemon's retries of idempotent calls, and calls after pings that took up to a second each, went to endpoints that had left since the first attempt.

Cause: the ranking was read once and used for all attempts (a decision that is not confirmed at the time of its effect).

Change: each attempt takes the best endpoint of a new ranking that was not tried before, and an endpoint that answers its ping must still be ranked.

--- a/packages/core/src/request/calls/dispatch.ts
+++ b/packages/core/src/request/calls/dispatch.ts
@@ -27,15 +27,38 @@
   call: ServiceCall,
   context: CallContext,
 ): Promise<ServiceEndpoint | undefined> {
-  for (const endpoint of context.rankEndpoints(call.service)) {
-    if (call.signal.aborted) return undefined;
-    if (await isAlive(context.openClient(endpoint), call.signal)) {
-      return endpoint;
-    }
+  const tried = new Set<string>();
+  while (!call.signal.aborted) {
+    const endpoint = findUntried(call, context, { tried });
+    if (!endpoint) return undefined;
+    tried.add(endpoint.name);
+    const alive = await isAlive(context.openClient(endpoint), call.signal);
+    if (alive && isAccepting(endpoint, call, { context })) return endpoint;
   }
   return undefined;
 }
 
+/** The best endpoint outside `tried`. Ranked anew for each attempt, as endpoints leave in the meantime. */
+function findUntried(
+  call: ServiceCall,
+  context: CallContext,
+  { tried }: { readonly tried: ReadonlySet<string> },
+): ServiceEndpoint | undefined {
+  return context.rankEndpoints(call.service).find(({ name }) =>
+    !tried.has(name)
+  );
+}
+
+function isAccepting(
+  endpoint: ServiceEndpoint,
+  call: ServiceCall,
+  { context }: { readonly context: CallContext },
+): boolean {
+  return context.rankEndpoints(call.service).some(({ name }) =>
+    name === endpoint.name
+  );
+}
+
 /** Sends a call to one endpoint without retries; failures are returned, not thrown. */
 export async function sendOnce(
   call: ServiceCall,
@@ -57,10 +80,12 @@
   context: CallContext,
 ): Promise<AttemptResult> {
   let end: AttemptResult = { kind: "not_run" };
-  const endpoints = context.rankEndpoints(call.service);
-  for (const [index, endpoint] of endpoints.entries()) {
-    if (call.signal.aborted || index >= maxIdempotentAttempts) break;
-    if (index > 0 && context.allowRetry?.() === false) break;
+  const tried = new Set<string>();
+  while (!call.signal.aborted && tried.size < maxIdempotentAttempts) {
+    const endpoint = findUntried(call, context, { tried });
+    if (!endpoint) break;
+    if (tried.size > 0 && context.allowRetry?.() === false) break;
+    tried.add(endpoint.name);
     const next = await sendOnce(call, context.openClient(endpoint));
     if (next.kind === "answered") return next;
     // If any attempt may have run, the call may have run.
