End a call without a key when its caller has left, in the daemon

What callers could see: calls to plain services went on, retries included, for callers that had disconnected.

Cause: the daemon let every call run on so that its result is recorded for a repeat. Only calls with an idempotency key have such a record.

Change: a call without a key is aborted with its caller's connection; one with a key goes on.

--- a/packages/node/src/request/services_app.ts
+++ b/packages/node/src/request/services_app.ts
@@ -94,12 +94,17 @@
   const deadline = new AbortController();
   const timer = setTimeout(() => deadline.abort(), caller.deadline_ms);
   try {
-    // A caller that disconnects does not abort its call: the result is recorded for a repeat of the call.
+    const disconnected = new AbortController();
+    response.once("close", () => disconnected.abort());
+    // The result of a call with a key is recorded for a repeat of the call.
+    const signal = serviceRequest.key === undefined
+      ? AbortSignal.any([deadline.signal, disconnected.signal])
+      : deadline.signal;
     const call = {
       caller: caller.name,
       service,
       request: serviceRequest,
-      signal: deadline.signal,
+      signal,
     };
     const result = await dependencies.runCall(call, version, { caller });
     result.caseOf({
