Take late news for an outage of the store only after a failed read

Cause: news older than 1.5 s counted as an outage of the store, whatever made it late. After an outage, removed endpoints keep their place for 2.5 s, since they may return. Class of fault: silence of peers is taken for the silence of the store.

Change: an outage needs a read of this instance's own that failed since the newest news.

--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -63,7 +63,7 @@
  */
 const answerTimeoutMs = 1_000;
 /**
- * Age of the known state above which the store counts as unreachable, in ms:
+ * Age of the known state above which a failed read shows an outage, in ms:
  * longer than the delay of a late read, shorter than the time in which entries
  * lapse.
  */
@@ -89,6 +89,7 @@
   let needsNewest = true;
   let readMs = -Infinity;
   let peerReadMs = -Infinity;
+  let failedMs = -Infinity;
   let recoveredMs = -Infinity;
   let readable = true;
   let failures = 0;
@@ -120,12 +121,16 @@
     return performance.now() - Math.max(readMs, peerReadMs);
   }
 
-  /** Starts the time since recovery if the known state is older than `outageAfterMs`; called before fresh data is applied. */
-  function recordRecovery(): void {
+  /** Whether the store counts as unreachable: data that is merely late, while no own read has failed since, does not show an outage. */
+  function isAway(): boolean {
     const ageMs = getAgeMs();
-    if (ageMs > outageAfterMs && ageMs < Infinity) {
-      recoveredMs = performance.now();
-    }
+    return ageMs > outageAfterMs && ageMs < Infinity &&
+      failedMs > Math.max(readMs, peerReadMs);
+  }
+
+  /** Starts the time since recovery if the store was unreachable; called before fresh data is applied. */
+  function recordRecovery(): void {
+    if (isAway()) recoveredMs = performance.now();
   }
 
   async function fetchPage(): Promise<TopicPage<Value>> {
@@ -159,6 +164,7 @@
       return;
     }
     failures += 1;
+    failedMs = performance.now();
     if (readable) {
       log(fleetEvents.topicLost, { topic: options.name, error: String(error) });
     }
@@ -194,8 +200,7 @@
     getNext: () => next,
     getAgeMs,
     getReadAgeMs: () => performance.now() - readMs,
-    getSinceRecoveryMs: () =>
-      getAgeMs() > outageAfterMs ? 0 : performance.now() - recoveredMs,
+    getSinceRecoveryMs: () => isAway() ? 0 : performance.now() - recoveredMs,
     isReadable: () => readable,
     advanceTo(offset, ageMs = Infinity): void {
       const knownMs = performance.now() - ageMs;
