Read the store when a peer's newer state cannot be fetched

Cause: an instance that knew it was behind asked peers only, 0.7 s each, until its list was two reads old.

Change: a failed fetch makes the instance read the store at once. Result: fleet_view.feature, "An instance that cannot fetch a change from its peers reads the store", fails without the change and passes with it.

--- a/packages/node/src/entry/fleet_view.feature
+++ b/packages/node/src/entry/fleet_view.feature
@@ -30,3 +30,11 @@
     And 1100 ms pass for the instance
     Then the instance sends "engine-1" no new work
     And the instance lists "engine-1, engine-2"
+
+  Scenario: An instance that cannot fetch a change from its peers reads the store (DRAIN)
+    Given an instance that relies on the reads of "a1" and lists "engine-1"
+    When 6000 ms pass for the instance
+    And "a1" hands over no state
+    And "engine-1" is leaving
+    And 1300 ms pass for the instance
+    Then the instance sends "engine-1" no new work
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -226,6 +226,13 @@
   },
 );
 
+When("{string} hands over no state", function (
+  this: ViewWorld,
+  _name: string,
+): void {
+  this.simulatedReader.handsOverState = false;
+});
+
 When(
   "{string} sends only its newest change with its digests",
   function (this: ViewWorld, _name: string): void {
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -93,6 +93,8 @@
   const { settings, topics, logEvent, signal } = options;
   let version: RouteIndex | undefined;
   let fetching = false;
+  /** Whether a peer's newer state could not be fetched, until the next own read. */
+  let fetchFailed = false;
   /** Last result of `isReader`, for the log and digests. */
   let readingStore = true;
   const startedMs = performance.now();
@@ -135,8 +137,8 @@
   /**
    * In each failure domain one instance reads the store for the others: the
    * first by name among the live instances whose digests report successful
-   * reads. An instance whose list is stale reads the store as well. Also logs
-   * each change of the result.
+   * reads. An instance whose list is stale, or that knows of a change and cannot
+   * fetch it, reads the store as well. Also logs each change of the result.
    */
   function isReader(): boolean {
     const hasOtherReader = peers.listLive().some((peer) =>
@@ -144,7 +146,8 @@
       !peer.stopping && peer.name < settings.instance
     );
     const stale = endpointTopic.getAgeMs() > intervalMs * maxMissedReads;
-    const reads = !hasOtherReader || stale || options.isStopping();
+    const reads = !hasOtherReader || stale || fetchFailed ||
+      options.isStopping();
     if (reads !== readingStore) {
       readingStore = reads;
       logEvent(reads ? fleetEvents.readerBegan : fleetEvents.readerEnded, {
@@ -186,6 +189,7 @@
     intervalMs,
     longPollMs: 0,
     onPage: (page) => {
+      fetchFailed = false;
       const before = endpoints.getOffsets();
       endpoints.apply(page);
       listUpdates.add(page, {
@@ -275,6 +279,7 @@
         });
       }
     } catch (error) {
+      fetchFailed = true;
       logEvent(fleetEvents.peerStateFailed, {
         instance: digest.name,
         error: String(error),
