Choose another engine if one leaves while a prompt is exported, in the daemon

What callers could see: the daemon sent a generation to an engine that had announced its leaving seconds ago, while another engine computed and exported the prompt.

Cause: the engine was chosen before the export and not checked after it (a decision that is not confirmed at the time of its effect).

Change: after an export, an engine that is leaving counts as having refused, so the request goes to another one. Result: completion.feature, "An engine that leaves while the prompt is exported gets no generation"; without the check its history has a generation at the leaving engine.

--- a/packages/core/src/request/completion/attempt.ts
+++ b/packages/core/src/request/completion/attempt.ts
@@ -45,6 +45,7 @@
   let finished = false;
   try {
     const request = await buildRequest(start, { dependencies, attemptId });
+    assertNotLeaving(start, dependencies);
     const open = (signal: AbortSignal): AsyncIterable<GenerateEvent> =>
       engine.generate(request, signal);
     const resume = (signal: AbortSignal): AsyncIterable<GenerateEvent> =>
@@ -131,6 +132,18 @@
   }
 }
 
+/** Throws if the engine announced that it is leaving while the prompt was exported. */
+function assertNotLeaving(
+  { route }: AttemptStart,
+  dependencies: CompletionDependencies,
+): void {
+  if (!route.prefillEngine || !dependencies.isLeaving(route.engine)) return;
+  throw new RemoteError("Engine is leaving", {
+    failure: RemoteFailure.Refused,
+    effect: Effect.None,
+  });
+}
+
 async function* forwardEvents(
   source: AsyncIterable<GenerateEvent>,
   { start, work }: { readonly start: AttemptStart; readonly work: AttemptWork },
--- a/packages/core/src/request/completion/completion.feature
+++ b/packages/core/src/request/completion/completion.feature
@@ -43,3 +43,10 @@
     When a completion of 3 tokens runs with a deadline of 2000 ms
     Then the events of the completion match the snapshot
     And the completion ended after 2000 ms
+
+  Scenario: An engine that leaves while the prompt is exported gets no generation (DRAIN)
+    Given an engine "one" that answers
+    And an engine "two" that answers
+    And "one" leaves while a prompt for it is exported
+    When a completion of 2 tokens runs
+    Then the events of the completion match the snapshot
--- a/packages/core/src/request/completion/completion.steps.ts
+++ b/packages/core/src/request/completion/completion.steps.ts
@@ -39,6 +39,10 @@
   scripts: Map<string, EngineScript>;
   /** Events of the completion, calls of engines and ends of attempts, in order. */
   history: unknown[];
+  /** Engine that leaves while its prompt is exported. */
+  leavingEngine?: string;
+  /** Whether the export has begun. */
+  exportBegan?: boolean;
   /** Time that the choice of an engine takes. */
   choiceDelayMs?: number;
   /** Time from the start of the completion to its end. */
@@ -108,6 +112,13 @@
   },
 );
 
+Given(
+  "{string} leaves while a prompt for it is exported",
+  function (this: CompletionWorld, name: string): void {
+    this.leavingEngine = name;
+  },
+);
+
 Given(
   "a choice of engines that takes {int} ms",
   function (this: CompletionWorld, choiceMs: number): void {
@@ -239,9 +250,18 @@
         expectedTokenMs: 0,
         cachedTokens: 0,
       };
-      return Right({ engine, ...estimates, release: () => {} });
+      const prefillEngine = world.leavingEngine && "prefill";
+      return Right({
+        engine,
+        prefillEngine,
+        ...estimates,
+        release: () => {},
+      });
     },
     getEngine: (name) => buildEngine(name, world),
+    isLeaving: (name) =>
+      world.exportBegan === true &&
+      name === world.leavingEngine,
     openWork: () => ({
       recordFirstToken: () => {},
       recordToken: () => {},
@@ -283,7 +303,10 @@
     fetchLoad: unused,
     fetchState: unused,
     order: unused,
-    exportKv: unused,
+    exportKv: () => {
+      world.exportBegan = true;
+      return Promise.resolve("handle");
+    },
   };
 }
 
--- a/packages/core/src/request/completion/dependencies.ts
+++ b/packages/core/src/request/completion/dependencies.ts
@@ -76,6 +76,7 @@
     chooseRoute: (call, excluded, { signal }) =>
       chooseEngine(call, context, { version, excluded, signal }),
     getEngine: version.getEngine,
+    isLeaving: (engine) => context.table.getView(engine)?.leaving ?? false,
     openWork: (call, route) => openAttemptWork(call, route, { context }),
     allowRetry: (engine, { delivered }) =>
       context.budget.consumeRepeat(
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -95,6 +95,8 @@
     options: { readonly signal: AbortSignal },
   ) => Promise<Either<Refusal, CompletionRoute>>;
   readonly getEngine: (engine: EndpointName) => EngineClient;
+  /** Whether an engine has announced that it is leaving. */
+  readonly isLeaving: (engine: EndpointName) => boolean;
   readonly openWork: (
     call: CompletionCall,
     route: CompletionRoute,
