Make the test of changes in digests depend on them

"A change of the list comes with the digest that tells of it" also passed without the change, by an own read after the failed fetch. It now asks as well that the instance has not read the list for 4 s, and fails without `applyUpdate`.

--- a/packages/node/src/entry/fleet_view.feature
+++ b/packages/node/src/entry/fleet_view.feature
@@ -15,10 +15,12 @@
 
   Scenario: A change of the list comes with the digest that tells of it
     Given an instance that relies on the reads of "a1" and lists "engine-1"
-    When "a1" sends its changes with its digests and hands over no state
+    When 6000 ms pass for the instance
+    And "a1" sends its changes with its digests and hands over no state
     And "engine-1" is leaving
     And 1100 ms pass for the instance
     Then the instance sends "engine-1" no new work
+    And the instance has not read the list for 4000 ms
 
   Scenario: An instance that misses earlier changes fetches the whole list
     Given an instance that relies on the reads of "a1" and lists "engine-1"
