Accept digests that do not say when they were sent

What could be seen: an instance of the former version sends plain digests without that time. The delay was not a number then, and its histogram throws on such a value, which ends the process in the middle of a rolling replacement. Found by reading the change; no run showed it.

Change: such a digest counts as not delayed, as before. Result: digest_delays.feature, "A digest of a former version counts as not delayed".

--- a/packages/core/src/process/fleet/digest_delays.feature
+++ b/packages/core/src/process/fleet/digest_delays.feature
@@ -25,3 +25,7 @@
     When 100 s pass between digests
     And digests take "5, 5, 5, 5, 5" ms
     Then their delays are "0, 0, 0, 0, 0" ms
+
+  Scenario: A digest of a former version counts as not delayed
+    When a digest does not say when it was sent
+    Then their delays are "0" ms
--- a/packages/core/src/process/fleet/digest_delays.steps.ts
+++ b/packages/core/src/process/fleet/digest_delays.steps.ts
@@ -52,6 +52,14 @@
   },
 );
 
+When("a digest does not say when it was sent", function (
+  this: DelayWorld,
+): void {
+  this.measuredMs = [
+    this.digestDelays.measure({ name: "a1", start: this.digestStart }),
+  ];
+});
+
 When(
   "the instance starts again with a clock that differs by {int} ms",
   function (this: DelayWorld, offsetMs: number): void {
--- a/packages/core/src/process/fleet/digest_delays.ts
+++ b/packages/core/src/process/fleet/digest_delays.ts
@@ -7,7 +7,7 @@
 
 /** Transit delays of the digests of all peers. */
 export interface DigestDelays {
-  /** Transit delay of a digest that arrived now, in ms; 0 for the first of a run of its sender. */
+  /** Transit delay of a digest that arrived now, in ms; 0 for the first of a run of its sender, and for one that does not say when it was sent. */
   readonly measure: (
     digest: Pick<PeerDigest, "name" | "start" | "sentMs">,
   ) => number;
@@ -32,6 +32,7 @@
   const baselines = new Map<string, Baseline>();
   return {
     measure({ name, start, sentMs }): number {
+      if (sentMs === undefined) return 0;
       const nowMs = performance.now();
       const offsetMs = nowMs - sentMs;
       const known = baselines.get(name);
--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -23,8 +23,8 @@
   readonly start: string;
   /** Number of the digest since the start; a digest with a lower number than the newest is dropped. */
   readonly sequence: number;
-  /** When the digest was sent, in ms of the sender's monotonic clock. */
-  readonly sentMs: number;
+  /** When the digest was sent, in ms of the sender's monotonic clock; absent in digests of former versions. */
+  readonly sentMs?: number;
   /** Offset up to which the list of endpoints was read. */
   readonly listNext: number;
   /** Offset up to which the list must be read to include its last change. */
