Handle a hangup from the start of an entry on

What could be seen: an entry ends by itself some time after its start, without a line in its log. On the users' platform settings files change at any moment, also right after a restart.

Cause: the handler of SIGHUP was set once the entry listened. Until then, 0.3 s and more, the signal ends the process.

--- a/packages/node/src/entry/run_entry.ts
+++ b/packages/node/src/entry/run_entry.ts
@@ -57,6 +57,8 @@
   const settings = openSettings(path);
   if (!settings) return;
   const writer = startLogWriter();
+  // Before the start: without a handler a hangup ends the process.
+  process.on("SIGHUP", () => checkChangedSettings(path));
   try {
     const entry = await startEntry(settings, {
       platform: command.platform,
@@ -70,7 +72,6 @@
       void entry.stop().then(() => writer.flush())
         .finally(() => process.exit(0));
     });
-    process.on("SIGHUP", () => checkChangedSettings(path));
     process.on("uncaughtException", (error) => {
       logEvent(entryEvents.crashed, { error: error.stack ?? String(error) });
       void writer.flush().finally(() => process.exit(failureExitCode));
