--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -149,6 +149,11 @@
   });
 }
 
+/** Ids of the prompt parts that other calls may share; the last part belongs to this call or its session. */
+export function listSharedParts({ work }: ForwardCall): readonly string[] {
+  return work?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+}
+
 /** Reads an answer's body into memory; rejects with `RemoteError` if the answer breaks off. */
 export async function readBody(answer: EndpointAnswer): Promise<Buffer> {
   const chunks: Buffer[] = [];
@@ -185,6 +190,7 @@
     endpoint: endpoint.name,
     leftMs: Math.round(getLeftMs(state)),
     unsent: isUnsent(error),
+    parts: listSharedParts(state.call).join(" "),
     error: error instanceof Error ? error.message : String(error),
   });
   const late = error instanceof RemoteError &&
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -4,7 +4,12 @@
   GenerationWork,
   ListedEndpoint,
 } from "../../types/index.ts";
-import { type CallState, getAgeMs, getLeftMs } from "./attempt.ts";
+import {
+  type CallState,
+  getAgeMs,
+  getLeftMs,
+  listSharedParts,
+} from "./attempt.ts";
 import { forwardEvents } from "./events.ts";
 import {
   placeGeneration,
@@ -99,7 +104,7 @@
     readMs: placement && Math.round(placement.readMs),
     tokens: placement?.tokens,
     promptTokens: work.promptTokens,
-    part: work.parts.at(-2)?.id,
+    parts: listSharedParts(state.call).join(" "),
     leftMs: Math.round(getLeftMs(state)),
   });
   return placement;
