Refuse calls with a trait under which endpoints have crashed

Callers saw 502 and broken streams for as long as prompts with one part came: each call was placed as if nothing had happened, and every engine that began an answer ended. The entry kept no record of what was in flight when an engine ended; the daemon has one, by the digest of the whole request, and no two of these requests are alike.

An entry now records calls that got no whole answer. When the engine's process turns out to have ended although it was not leaving (its address refuses connections, the list drops or restarts it, or a peer says so), the traits of these calls become evidence: each shared part of the prompt, and the request itself. Digests pass evidence on, a restarted instance gets it from a peer or from the store. A trait in flight at three crashes with no call completed since (five, if calls with it have completed before) is refused with 503 and a time to come back, before every send: first one, retry, resume, export and generation. Crashes that a refused trait explains do not count against others, so calls that were at the same engines by chance go on. Of traits seen at exactly the same crashes a call with some of them may run as a trial.

--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -1,6 +1,7 @@
 /** Tracks the other instances: their registrations in the store and the digests that they send. */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
+import type { CrashReports } from "../crashes/index.ts";
 import type { DownEndpoints, PartReports } from "./endpoint_tracker.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
@@ -37,6 +38,8 @@
   readonly reads: PartReports;
   readonly down: DownEndpoints;
   readonly changing: readonly ChangingEngine[];
+  /** News of crashes under calls; absent if there are none. */
+  readonly crashes?: CrashReports;
   /** Whether the instance is shutting down. */
   readonly stopping: boolean;
   /** Recent changes of the list, sent by the instance that reads the store to the others of its failure domain. */
--- a/packages/core/src/process/index.ts
+++ b/packages/core/src/process/index.ts
@@ -1,6 +1,7 @@
 /** Components with the lifetime of the process. */
 export * from "./burn/index.ts";
 export * from "./calls/index.ts";
+export * from "./crashes/index.ts";
 export * from "./fleet/index.ts";
 export * from "./lease/index.ts";
 export * from "./log/index.ts";
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -12,8 +12,13 @@
   type SendParameters,
   type ServiceName,
 } from "../../types/index.ts";
+import {
+  crashEvents,
+  EndSign,
+  Unsettled,
+} from "../../process/crashes/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
-import { buildNotRun } from "./ends.ts";
+import { buildEndpointFailed, buildNotRun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import type {
   CallerAnswer,
@@ -52,6 +57,16 @@
   }
 }
 
+/** Thrown instead of sending a call that must not reach any endpoint. */
+class RefusedCallError extends RemoteError {
+  constructor() {
+    super("endpoints crash under calls like this one", {
+      failure: RemoteFailure.Refused,
+      effect: Effect.None,
+    });
+  }
+}
+
 const success = 200;
 const redirect = 300;
 /** Retry-after where no endpoint is listed, in ms: about half of an endpoint's heartbeat interval. */
@@ -61,6 +76,8 @@
  * the time that the restart of a crashed process or a role change takes.
  */
 const allDownRetryMs = 2_500;
+/** Longest retry-after of a refusal because of crashes, in ms. */
+const maxCrashRetryMs = 60_000;
 /** Status of an endpoint whose address another process now uses, or of an engine with another role. */
 const misdirectedStatus = 421;
 
@@ -94,13 +111,44 @@
   return false;
 }
 
-/** Sends the call and checks the answer's headers; rejects with `RemoteError` or `WrongAnswerError`. */
+/** Refuses a call like those under which endpoints have crashed; undefined if it may be sent. */
+export function refuseCrashing(state: CallState): ForwardEnd | undefined {
+  const verdict = state.parts.crashes.findVerdict(state.call);
+  if (!verdict) return undefined;
+  const sinceCrashMs = performance.now() - verdict.lastCrashMs;
+  state.parts.logEvent(crashEvents.callRefused, {
+    call: state.call.id,
+    trait: verdict.trait,
+    crashes: verdict.crashes.length,
+    lastCrash: verdict.crashes.at(-1),
+    lastCrashAgeMs: Math.round(sinceCrashMs),
+    runs: state.runs,
+  });
+  const message = "endpoints crash under calls like this one";
+  return state.runs > 0
+    ? buildEndpointFailed(message, { runs: state.runs })
+    : buildNotRun(RefusalReason.Suspect, message, {
+      retryAfterMs: maxCrashRetryMs,
+    });
+}
+
+/**
+ * Sends the call and checks the answer's headers; rejects with `RemoteError` or
+ * `WrongAnswerError`. All ways to an endpoint lead through here, so crashes
+ * that became known since the last decision are heeded as well.
+ */
 export async function sendCall(
   state: CallState,
   facts: SendParameters,
   options: { readonly signal: AbortSignal; readonly maxIdleMs?: number },
 ): Promise<EndpointAnswer> {
-  const answer = await state.parts.sender.send(state.call, facts, options);
+  const { call, parts } = state;
+  if (parts.crashes.findVerdict(call)) throw new RefusedCallError();
+  const sentMs = performance.now();
+  const answer = await parts.sender.send(call, facts, options);
+  if (answer.head.status !== misdirectedStatus) {
+    parts.crashes.recordAnswer(facts.endpoint, sentMs);
+  }
   const wrong = findAnswerFault(answer, state, facts);
   if (wrong === undefined) return answer;
   await closeAnswer(answer);
@@ -182,7 +230,9 @@
   endpoint: ListedEndpoint,
   { error, step }: { readonly error: unknown; readonly step: string },
 ): CallEnd {
-  if (state.signal.aborted) return CallEnd.Withdrawn;
+  recordCrashSigns(state, endpoint, { error });
+  const refused = error instanceof RefusedCallError;
+  if (state.signal.aborted || refused) return CallEnd.Withdrawn;
   state.excluded.add(endpoint.name);
   state.parts.logEvent(forwardEvents.sendFailed, {
     call: state.call.id,
@@ -198,3 +248,31 @@
   if (late) return CallEnd.Late;
   return isUnsent(error) ? CallEnd.Down : CallEnd.Failed;
 }
+
+/** Records that an endpoint answered the call with success to the end. */
+export function recordWhole(
+  { call, parts }: CallState,
+  endpoint: ListedEndpoint,
+  { framed }: EndpointAnswer,
+): void {
+  if (framed) parts.crashes.recordSuccess(call);
+  else {
+    parts.crashes.recordUnsettled(call, endpoint, { why: Unsettled.Unframed });
+  }
+}
+
+/** Records what a failed send shows about the endpoint's process. */
+function recordCrashSigns(
+  { call, parts, signal }: CallState,
+  endpoint: ListedEndpoint,
+  { error }: { readonly error: unknown },
+): void {
+  if (!(error instanceof RemoteError)) return;
+  if (error.failure === RemoteFailure.NotListening) {
+    parts.crashes.recordEnd(endpoint, EndSign.ConnectionRefused);
+  } else if (!isUnsent(error)) {
+    parts.crashes.recordUnsettled(call, endpoint, {
+      why: signal.aborted ? Unsettled.Withdrawn : Unsettled.Broken,
+    });
+  }
+}
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -7,6 +7,10 @@
   type EndpointList,
   type EndpointTracker,
 } from "../../process/fleet/index.ts";
+import {
+  type CrashWatch,
+  createCrashWatch,
+} from "../../process/crashes/index.ts";
 import { CallKind, type ForwardCall } from "../../types/index.ts";
 import {
   buildRouteIndex,
@@ -31,6 +35,7 @@
   fake: FakeEndpoints;
   endpoints: EndpointList;
   tracker: EndpointTracker;
+  crashes: CrashWatch;
   version: RouteIndex;
   caller: FakeCaller;
   end?: ForwardEnd;
@@ -70,6 +75,10 @@
     getSinceRecoveryMs: () => Infinity,
     logEvent: () => undefined,
   });
+  world.crashes = createCrashWatch({
+    isAccepting: world.endpoints.isAccepting,
+    logEvent: () => undefined,
+  });
   applyEndpoints(world, options.names);
   const kinds: Readonly<Record<string, CallKind>> = {
     idempotent: CallKind.Idempotent,
@@ -111,6 +120,7 @@
     endpoints: world.endpoints,
     endpointTracker: world.tracker,
     speeds: createPrefillSpeeds(),
+    crashes: world.crashes,
     budget: {
       recordCall: () => undefined,
       consumeRepeat: () => true,
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -7,6 +7,7 @@
   mayRunAgain,
   readBody,
   recordFailure,
+  recordWhole,
 } from "./attempt.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { StreamState } from "./stream_state.ts";
@@ -39,6 +40,7 @@
   let end = CallEnd.Answered;
   try {
     await relayEvents(state, run);
+    recordWhole(state, engine, answer);
     state.answer.end();
     return {
       outcome: Outcome.Done,
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -15,6 +15,7 @@
   mayRunAgain,
   readBody,
   recordFailure,
+  refuseCrashing,
   refuseWithoutEndpoint,
   sendCall,
 } from "./attempt.ts";
@@ -63,6 +64,8 @@
 async function runAttempts(state: StreamState): Promise<ForwardEnd> {
   let lost: ForwardEnd | undefined;
   while (!state.signal.aborted) {
+    const refusal = refuseCrashing(state);
+    if (refusal) return refusal;
     const start = await prepareRun(state);
     if (start === "again") continue;
     if (start === undefined) break;
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -18,6 +18,8 @@
   mayRunAgain,
   readBody,
   recordFailure,
+  recordWhole,
+  refuseCrashing,
   refuseWithoutEndpoint,
   sendCall,
 } from "./attempt.ts";
@@ -46,6 +48,11 @@
   let fallback: WholeAnswer | undefined;
   let lost: ForwardEnd | undefined;
   while (!state.signal.aborted) {
+    const refusal = refuseCrashing(state);
+    if (refusal) {
+      if (fallback) break;
+      return refusal;
+    }
     const endpoint = chooseEndpoint(state, getMaxIdleMs(state));
     if (!endpoint) break;
     if (!allowSend(state)) break;
@@ -109,6 +116,8 @@
       state.excluded.add(endpoint.name);
     } else if (isServerError({ answer })) {
       end = CallEnd.Failed;
+    } else {
+      recordWhole(state, endpoint, answer);
     }
     return { answer, body, endpoint };
   } catch (error) {
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -15,6 +15,7 @@
   EndpointTracker,
   PrefillSpeeds,
 } from "../../process/fleet/index.ts";
+import type { CrashWatch } from "../../process/crashes/index.ts";
 import type { SharedBudget } from "../retries/index.ts";
 
 /** An endpoint's answer while its body arrives. */
@@ -95,6 +96,7 @@
   readonly endpointTracker: EndpointTracker;
   readonly speeds: PrefillSpeeds;
   readonly budget: SharedBudget;
+  readonly crashes: CrashWatch;
   /** Whether an engine takes no work because its role changes. */
   readonly isChangingRole: (endpoint: EndpointName) => boolean;
   readonly ownDomain: string;
--- a/packages/core/src/types/effects.ts
+++ b/packages/core/src/types/effects.ts
@@ -11,6 +11,8 @@
 /** Why a remote call failed. */
 export enum RemoteFailure {
   Unreachable = "unreachable",
+  /** Nothing listens at the address: the process there has ended. */
+  NotListening = "not_listening",
   Timeout = "timeout",
   Refused = "refused",
   RateLimited = "rate_limited",
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -225,7 +225,7 @@
       return new RemoteError(
         error instanceof Error ? error.message : String(error),
         {
-          failure: RemoteFailure.Unreachable,
+          failure: classifyError(error),
           effect: sent ? Effect.Unknown : Effect.None,
           cause: error,
         },
@@ -275,6 +275,13 @@
   });
 }
 
+function classifyError(error: unknown): RemoteFailure {
+  const { code } = error as NodeJS.ErrnoException;
+  return code === "ECONNREFUSED"
+    ? RemoteFailure.NotListening
+    : RemoteFailure.Unreachable;
+}
+
 function isFramed(headers: readonly string[]): boolean {
   return headers.some((name, index) =>
     index % 2 === 0 && framingHeaders.has(name.toLowerCase())
--- a/packages/node/src/entry/digests.test.ts
+++ b/packages/node/src/entry/digests.test.ts
@@ -1,6 +1,14 @@
 /** Digests of busy instances, for tests. */
 import { randomBytes } from "node:crypto";
-import type { PeerAddress, PeerDigest } from "@trefoildoor/core";
+import {
+  type CrashWatch,
+  createCrashWatch,
+  EndSign,
+  type ListedEndpoint,
+  type PeerAddress,
+  type PeerDigest,
+  Unsettled,
+} from "@trefoildoor/core";
 
 const busyEndpoints = 3;
 const allEndpoints = 45;
@@ -42,3 +50,45 @@
     stopping: false,
   };
 }
+
+const crashesOfPart = 5;
+
+/** Creates the crash news of an instance that refuses calls with one prompt part. */
+export function createBusyNews(): CrashWatch["collectReports"] {
+  const watch = createCrashWatch({
+    isAccepting: () => true,
+    logEvent: () => undefined,
+  });
+  for (let each = 0; each < crashesOfPart; each++) {
+    const endpoint: ListedEndpoint = {
+      name: drawEndpoint(),
+      service: "models",
+      address: "10.0.0.1:1",
+      failureDomain: "sapporo",
+      slots: 64,
+      leaving: false,
+      startedAtMs: Date.now() + each,
+    };
+    watch.recordUnsettled(
+      {
+        id: randomBytes(8).toString("hex"),
+        method: "POST",
+        target: "/",
+        host: "host",
+        headers: [],
+        body: Buffer.alloc(0),
+        work: {
+          model: "m",
+          promptTokens: 1,
+          outputTokens: 1,
+          parts: ["bad", "own"].map((id) => ({ id, tokens: 1 })),
+        },
+        receivedMs: 0,
+      },
+      endpoint,
+      { why: Unsettled.Broken },
+    );
+    watch.recordEnd(endpoint, EndSign.List);
+  }
+  return watch.collectReports;
+}
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -5,6 +5,8 @@
  */
 import {
   buildRouteIndex,
+  type CrashWatch,
+  createCrashWatch,
   createDigestDelays,
   createEndpointList,
   createEndpointTracker,
@@ -12,6 +14,7 @@
   createPeerRegistry,
   type EndpointList,
   type EndpointTracker,
+  EndSign,
   fleetEvents,
   type FollowedTopic,
   followTopic,
@@ -31,10 +34,11 @@
 export interface FleetView {
   readonly endpoints: EndpointList;
   readonly endpointTracker: EndpointTracker;
+  readonly crashes: CrashWatch;
   readonly peers: PeerRegistry;
   /** Route index of the configuration in force; undefined before the first. */
   readonly getVersion: () => RouteIndex | undefined;
-  /** Configuration and endpoints that this instance sends to peers on request. */
+  /** Configuration, endpoints and crash evidence that this instance sends to peers on request. */
   readonly getState: () => FleetState;
   /** Fields of this instance's digest on its list of endpoints. */
   readonly getListStatus: () => ListStatus;
@@ -61,6 +65,8 @@
   readonly onVersion: (version: RouteIndex) => void;
   /** Called after a change that other instances should receive without delay. */
   readonly onUpdate: () => void;
+  /** Called after each change of the crash evidence. */
+  readonly onCrashEvidence: () => void;
   /** Called after each read of the list by this instance, with its recent changes. */
   readonly onListRead: (update: ListUpdate | undefined) => void;
   /** Called with the transit delay of each accepted digest, in ms. */
@@ -104,10 +110,16 @@
   const digestDelays = createDigestDelays();
   const listUpdates = createListUpdates();
   const delayedPeers = new Set<string>();
+  const crashes = createCrashWatch({
+    isAccepting: (endpoint) => endpoints.isAccepting(endpoint),
+    onChange: options.onCrashEvidence,
+    logEvent,
+  });
   const endpoints = createEndpointList({
     getSinceRecoveryMs: () => endpointTopic.getSinceRecoveryMs(),
     onReplaced(endpoint): void {
       endpointTracker.forget(endpoint.name);
+      if (!endpoint.leaving) crashes.recordEnd(endpoint, EndSign.List);
       options.channels.closeIdle(endpoint.address);
     },
     logEvent,
@@ -263,6 +275,9 @@
     fetching = true;
     try {
       const state = await fetchState(digest.address);
+      if (state.crashes) {
+        crashes.applyReports(state.crashes, performance.now() - startedMs);
+      }
       if (state.configuration) {
         applyConfiguration(state.configuration, digest.name);
       }
@@ -292,11 +307,13 @@
   return {
     endpoints,
     endpointTracker,
+    crashes,
     peers,
     getVersion: () => version,
     getState: () => ({
       configuration: version?.configuration,
       endpoints: endpoints.getSnapshot(),
+      crashes: crashes.getSnapshot(),
     }),
     getListStatus(): ListStatus {
       const { next, changed } = endpoints.getOffsets();
@@ -315,8 +332,10 @@
     acceptDigest(digest, fetchState): void {
       if (!peers.acceptDigest(digest)) return;
       // The list has aged while the digest was in transit.
-      const listAgeMs = digest.listAgeMs + recordDelay(digest);
+      const delayMs = recordDelay(digest);
+      const listAgeMs = digest.listAgeMs + delayMs;
       endpointTracker.applyReports(digest.name, digest);
+      if (digest.crashes) crashes.applyReports(digest.crashes, delayMs);
       applyUpdate(digest, listAgeMs);
       applyUnchanged(digest, listAgeMs);
       if (!fetching && isBehind(digest)) {
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -29,6 +29,8 @@
   readonly configurationVersion: number;
   readonly listAgeMs: number;
   readonly heardInstances: number;
+  /** Prompt parts and requests that are refused because endpoints crash under them. */
+  readonly refusedTraits: number;
   readonly droppedLogLines: number;
 }
 
@@ -145,6 +147,8 @@
     configurationVersion: "Version of the configuration in force",
     listAgeMs: "Age of the list of endpoints, in ms",
     heardInstances: "Live instances, this one included",
+    refusedTraits:
+      "Prompt parts and requests that are refused, as endpoints crash under them",
     droppedLogLines: "Log lines dropped since the start",
   };
   for (const [key, help] of Object.entries(gauges)) {
--- a/packages/node/src/entry/peer_link.steps.ts
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -106,6 +106,7 @@
     address,
     peers,
     channels: world.linkChannels,
+    collectCrashes: () => undefined,
     buildDigest: () =>
       buildDigest({ name, failureDomain, address }, {
         sequence: sequence += 1,
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -10,6 +10,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { createServer, type Server } from "node:http";
 import {
+  type CrashReports,
   type EndpointSnapshot,
   type ListUpdate,
   type PeerAddress,
@@ -27,6 +28,8 @@
 export interface FleetState {
   readonly configuration?: RoutingConfiguration;
   readonly endpoints: EndpointSnapshot;
+  /** Absent in states of former versions. */
+  readonly crashes?: CrashReports;
 }
 
 /** One instance's connection to the other instances. */
@@ -56,6 +59,8 @@
   readonly peers: PeerRegistry;
   readonly channels: Channels;
   readonly buildDigest: () => PeerDigest;
+  /** News of crashes for the next digest; each call counts as one that reached the peers. */
+  readonly collectCrashes: () => CrashReports | undefined;
   readonly getState: () => FleetState;
   readonly onDigest: (digest: PeerDigest) => void;
   readonly onFailure: (error: unknown) => void;
@@ -96,7 +101,8 @@
 
   function sendDigest(): void {
     sentMs = performance.now();
-    const digest = options.buildDigest();
+    const crashes = options.collectCrashes();
+    const digest = { ...options.buildDigest(), crashes };
     rotation += 1;
     const { direct, relays } = chooseTargets(options.peers.listRegistered(), {
       failureDomain: options.failureDomain,
--- a/packages/node/src/entry/platform.ts
+++ b/packages/node/src/entry/platform.ts
@@ -13,6 +13,7 @@
   ReadableTopic,
   RoutingConfiguration,
   SendParameters,
+  StoredCrashes,
   WritableTopic,
 } from "@trefoildoor/core";
 import type { ChannelRequest, Channels } from "./channels.ts";
@@ -24,6 +25,8 @@
   readonly endpoints: ReadableTopic<ListedEndpoint>;
   readonly instances: WritableTopic<PeerAddress>;
   readonly duties: WritableTopic<DutyClaim>;
+  /** Crash evidence, one record for each instance. */
+  readonly crashes: WritableTopic<StoredCrashes>;
 }
 
 /** Called for each record that cannot be decoded; `why` names the fault. */
--- a/packages/node/src/entry/relay_load.steps.ts
+++ b/packages/node/src/entry/relay_load.steps.ts
@@ -9,7 +9,7 @@
 } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
 import { type Channels, createChannels } from "./channels.ts";
-import { buildBusyDigest } from "./digests.test.ts";
+import { buildBusyDigest, createBusyNews } from "./digests.test.ts";
 import { DigestTraffic, openPeerLink, type PeerLink } from "./peer_link.ts";
 
 /** One instance of the fleet. */
@@ -56,6 +56,7 @@
     peers,
     channels: world.loadChannels,
     buildDigest: () => buildBusyDigest(self, { sequence: sequence += 1 }),
+    collectCrashes: createBusyNews(),
     getState: () => ({
       endpoints: { next: 0, changed: 0, endpoints: [], lapsed: [] },
     }),
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -18,6 +18,7 @@
 import { type Channels, createChannels } from "./channels.ts";
 import { createEndpointSender } from "./endpoint_sender.ts";
 import { type EntryRoles, startRoles } from "./entry_roles.ts";
+import { keepCrashRecord } from "./crash_record.ts";
 import { entryEvents } from "./events.ts";
 import { type FleetView, openFleetView } from "./fleet_view.ts";
 import {
@@ -29,6 +30,7 @@
 import { type EntryMetrics, openMetrics } from "./metrics.ts";
 import { openPeerLink, type PeerLink } from "./peer_link.ts";
 import type { EntryPlatform, StoreTopics } from "./platform.ts";
+import { registerInstance } from "./register_instance.ts";
 import type { EntrySettings } from "./settings.ts";
 import { watchEventLoop } from "./watch_event_loop.ts";
 
@@ -53,8 +55,6 @@
 const msPerSecond = 1_000;
 /** Retry delay told to callers while no configuration is in force, in ms. */
 const noConfigurationRetryMs = 400;
-/** Pause between attempts to register in the store, in ms. */
-const registerRetryMs = 500;
 /** Time before the platform's kill at which requests in progress are aborted, in ms. */
 const killMarginMs = 400;
 /** Interval at which a stopping entry checks for open requests, in ms. */
@@ -103,7 +103,12 @@
   const version = fleet.getVersion();
   if (version) state.front.applyLimits(version.limits);
   const readiness = await openReadiness(running);
-  void registerInstance(running);
+  void registerInstance({
+    settings,
+    topic: running.topics.instances,
+    logEvent: options.logEvent,
+    signal: running.shutdown.signal,
+  });
   options.logEvent(entryEvents.started, {
     instance: settings.instance,
     failureDomain: settings.failure_domain,
@@ -129,6 +134,7 @@
       configurationVersion: fleet.getVersion()?.version ?? 0,
       listAgeMs: fleet.getListAgeMs(),
       heardInstances: fleet.peers.countInstances(),
+      refusedTraits: fleet.crashes.listVerdicts().length,
       droppedLogLines: options.countDroppedLines(),
     }),
   });
@@ -148,6 +154,7 @@
     channels,
     onVersion: ({ limits }) => state.front?.applyLimits(limits),
     onUpdate: () => state.peerLink?.scheduleDigest(),
+    onCrashEvidence: () => crashRecord.scheduleWrite(),
     onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
@@ -159,6 +166,13 @@
     logEvent,
     signal: shutdown.signal,
   });
+  const crashRecord = keepCrashRecord({
+    instance: settings.instance,
+    topic: topics.crashes,
+    crashes: fleet.crashes,
+    logEvent,
+    signal: shutdown.signal,
+  });
   const roles = startRoles({
     settings,
     platform,
@@ -210,6 +224,7 @@
     endpoints: fleet.endpoints,
     endpointTracker: fleet.endpointTracker,
     speeds: createPrefillSpeeds(),
+    crashes: fleet.crashes,
     budget: createSharedBudget(
       { ratio, slack, windowMs: windowS * msPerSecond },
       { countInstances: fleet.peers.countInstances },
@@ -280,6 +295,7 @@
     peers: fleet.peers,
     channels: running.channels,
     buildDigest,
+    collectCrashes: fleet.crashes.collectReports,
     getState: fleet.getState,
     onDigest: (digest) => {
       const { peerLink } = state;
@@ -331,30 +347,6 @@
     : undefined;
 }
 
-/** Registers this instance in the store, where other instances read its address; retries until it succeeds. */
-async function registerInstance(running: Running): Promise<void> {
-  const { settings, topics, options, shutdown } = running;
-  const registration = {
-    name: settings.instance,
-    address: settings.peers,
-    failureDomain: settings.failure_domain,
-  };
-  while (!shutdown.signal.aborted) {
-    try {
-      await topics.instances.append({
-        key: registration.name,
-        value: registration,
-      }, {
-        signal: shutdown.signal,
-      });
-      return;
-    } catch (error) {
-      options.logEvent(entryEvents.notRegistered, { error: String(error) });
-      await waitFor(registerRetryMs, shutdown.signal);
-    }
-  }
-}
-
 async function stopEntry(
   running: Running,
   { peerLink, readiness }: {
