--- a/packages/core/src/process/crashes/crash_evidence.ts
+++ b/packages/core/src/process/crashes/crash_evidence.ts
@@ -57,7 +57,7 @@
 export const verdictMs = 600_000;
 /** Time for which a crash counts, in ms: longer than a verdict, so that one more crash renews an ended one. */
 const crashRetentionMs = 3 * verdictMs;
-const maxCrashes = 128;
+const maxCrashes = 64;
 /** Traits of one crash, of all instances. */
 const maxTraitsPerCrash = 256;
 /** Traits whose last success is remembered. */
@@ -103,6 +103,13 @@
     options.onChange?.();
   }
 
+  /** Where there are too many traits, those of earlier crashes come first. */
+  function pickTraits(traits: readonly Trait[]): readonly Trait[] {
+    if (traits.length <= maxTraitsPerCrash) return traits;
+    const isKnown = (trait: Trait): boolean => counted.has(trait);
+    return [...traits.filter(isKnown), ...traits];
+  }
+
   /** Ends verdicts whose time is over. */
   function expireVerdicts(): void {
     const oldestMs = performance.now() - verdictMs;
@@ -124,7 +131,7 @@
         traits: new Set<Trait>(),
       };
       const before = crash.traits.size;
-      for (const trait of report.traits) {
+      for (const trait of pickTraits(report.traits)) {
         if (crash.traits.size >= maxTraitsPerCrash) break;
         crash.traits.add(trait);
       }
