Take a stream that ends inside an event as broken off, and bound what is read of answers

A stream that stopped in the middle of an event was passed on as whole, a plain answer, an export or a refusal without end was collected in memory until the time of the call was over, and so was one event of a stream that may resume. The daemon had such bounds, the entry not.

Streams that end inside an event, and those without a length and without an event, are now broken: resumed where the route allows it, else cut.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -18,6 +18,7 @@
   Unsettled,
 } from "../../process/crashes/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
+import { closeAnswer } from "./answer_body.ts";
 import { buildEndpointFailed, buildNotRun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import type {
@@ -202,18 +203,6 @@
   return work?.parts.slice(0, -1).map(({ id }) => id) ?? [];
 }
 
-/** Reads an answer's body into memory; rejects with `RemoteError` if the answer breaks off. */
-export async function readBody(answer: EndpointAnswer): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of answer.body) chunks.push(chunk);
-  return Buffer.concat(chunks);
-}
-
-/** Discards the rest of an answer, which closes the connection unless the body has ended. */
-export async function closeAnswer(answer: EndpointAnswer): Promise<void> {
-  await answer.body[Symbol.asyncIterator]().return?.();
-}
-
 /** Whether a send failed before any byte was sent, so that the call did not run. */
 export function isUnsent(error: unknown): boolean {
   return error instanceof RemoteError && error.effect === Effect.None;
--- a/packages/core/src/request/forwarding/event_splitter.ts
+++ b/packages/core/src/request/forwarding/event_splitter.ts
@@ -13,8 +13,8 @@
 export interface EventSplitter {
   /** Adds a chunk; returns the buffered bytes up to the end of the last complete event, if any event is complete. */
   readonly add: (chunk: Buffer) => SplitEvents | undefined;
-  /** Returns and clears the buffered bytes after the last complete event. */
-  readonly flush: () => Buffer;
+  /** Number of buffered bytes after the last complete event. */
+  readonly countBuffered: () => number;
 }
 
 const lineFeed = 0x0a;
@@ -36,11 +36,7 @@
       const events = bytes.subarray(0, end);
       return { bytes: events, lastId: findLastId(events) };
     },
-    flush(): Buffer {
-      const taken = rest;
-      rest = Buffer.alloc(0);
-      return taken;
-    },
+    countBuffered: () => rest.length,
   };
 }
 
@@ -57,3 +53,30 @@
 function findLastId(events: Buffer): string | undefined {
   return [...events.toString("latin1").matchAll(idField)].at(-1)?.[1];
 }
+
+/** How the bytes of a stream ended. */
+export interface StreamEnd {
+  readonly add: (chunk: Buffer) => void;
+  /**
+   * Whether the stream was whole at its end: it did not end inside an event,
+   * and one that does not state its length has an event.
+   */
+  readonly isWhole: (answer: { readonly framed: boolean }) => boolean;
+}
+
+/** Longest end of an event: two line ends of two characters each. */
+const maxEndBytes = 4;
+
+/** Tracks the last bytes of a stream. */
+export function createStreamEnd(): StreamEnd {
+  let last: Buffer = Buffer.alloc(0);
+  return {
+    add(chunk): void {
+      last = chunk.length >= maxEndBytes
+        ? chunk.subarray(-maxEndBytes)
+        : Buffer.concat([last, chunk]).subarray(-maxEndBytes);
+    },
+    isWhole: ({ framed }) =>
+      last.length === 0 ? framed : findLastEnd(last) === last.length,
+  };
+}
--- a/packages/core/src/request/forwarding/export_prompt.ts
+++ b/packages/core/src/request/forwarding/export_prompt.ts
@@ -1,11 +1,11 @@
 /** Prefill at an engine that exports the computed prompt to another one. */
 import { Effect, RemoteError, RemoteFailure } from "../../types/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
+import { readBody } from "./answer_body.ts";
 import {
   classifyRefusal,
   getAgeMs,
   getLeftMs,
-  readBody,
   recordFailure,
   sendCall,
 } from "./attempt.ts";
@@ -14,6 +14,8 @@
 import { getRank, getWork, type StreamState } from "./stream_state.ts";
 
 const success = 200;
+/** Longest answer to an export, in bytes: it names a handle. */
+const maxExportBytes = 65_536;
 /** An export times out after its expected time multiplied by this factor, plus `lateExportSlackMs`. */
 const lateExportFactor = 2;
 const lateExportSlackMs = 800;
@@ -48,7 +50,7 @@
       exportOnly: true,
       copyFrom: placement.copyFrom,
     }, { signal: AbortSignal.any([state.signal, late.signal]) });
-    const body = await readBody(answer);
+    const body = await readBody(answer, { maxBytes: maxExportBytes });
     const { status, notRun } = answer.head;
     const prompt = status === success && !notRun
       ? parts.sender.decodeExport(engine, body)
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -209,3 +209,118 @@
     When a stream with 9000 prompt tokens is forwarded
     Then the caller gets status 503
     And the caller is told to come back in 2500 ms
+
+  Scenario Outline: A stream that ends inside an event has been broken off, with or without a length
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "d1" answers "<answer>"
+    When a stream with 100 prompt tokens is forwarded
+    Then the caller's answer is cut
+
+    Examples:
+      | answer             |
+      | stops 1-2          |
+      | unframed stops 1-2 |
+
+  Scenario Outline: A stream that ends inside an event resumes where it may
+    Given a "resumable stream" route over "p1, d1, d2" with 2 endpoints for a call
+    And "d1" answers "<answer>"
+    And "d2" answers "<next>"
+    When a stream with 100 prompt tokens is forwarded that reaches "d1" first
+    Then the caller gets events 1 to 5 and the end
+    And the second run began after event 2
+
+    Examples:
+      | answer             | next                |
+      | stops 1-2          | events 3-5          |
+      | unframed stops 1-2 | events 3-5          |
+      | stops 1-2          | unframed events 3-5 |
+      | unframed stops 1-2 | unframed events 3-5 |
+
+  Scenario Outline: A whole stream without a length ends with its connection
+    Given a "<kind>" route over "p1, d1" with 2 endpoints for a call
+    And "d1" answers "unframed events 1-3"
+    When a stream with 100 prompt tokens is forwarded
+    Then the caller gets events 1 to 3 and the end
+    And the caller's answer ends with its connection
+
+    Examples:
+      | kind             |
+      | stream           |
+      | resumable stream |
+
+  Scenario: A stream without a length and without an event is no answer
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "d1" answers "unframed nothing"
+    When a stream with 100 prompt tokens is forwarded
+    Then the caller gets status 502
+
+  Scenario Outline: A plain answer without end is given up
+    Given a "<kind>" route over "e1, e2" with 2 endpoints for a call
+    And "e1" answers "<first>"
+    When a call is forwarded that reaches "e1" first
+    Then the caller gets status <status>
+    And the call has reached "<reached>"
+
+    Examples:
+      | kind         | first           | status | reached |
+      | idempotent   | endless         | 200    | e1, e2  |
+      | at_most_once | endless         | 502    | e1      |
+      | at_most_once | endless refusal | 200    | e1, e2  |
+
+  Scenario: A resuming stream without the end of an event goes on elsewhere
+    Given a "resumable stream" route over "p1, d1, d2" with 2 endpoints for a call
+    And "d1" answers "endless"
+    And "d2" answers "events 1-2"
+    When a stream with 100 prompt tokens is forwarded that reaches "d1" first
+    Then the caller gets events 1 to 2 and the end
+    And the call has reached "d1, d2"
+
+  Scenario: An export without end is made elsewhere
+    Given a "stream" route over "p1, p2, d1" with 1 endpoints for a call
+    And "p1" answers "endless"
+    And "p2" answers "ok"
+    And "d1" answers "events 1-2"
+    When a stream with 4000 prompt tokens is forwarded that reaches "p1" first
+    Then the caller gets events 1 to 2 and the end
+    And the call has reached "p1, p2, d1"
+
+  Scenario Outline: A call with a refused part reaches no endpoint
+    Given a "<kind>" route over "<names>" with 2 endpoints for a call
+    And endpoints have crashed under the part "bad"
+    When a call with the part "bad" and <tokens> prompt tokens is forwarded
+    Then the caller gets status 503
+    And the caller is told when to come back
+    And the call has reached ""
+
+    Examples:
+      | kind             | names      | tokens |
+      | idempotent       | e1, e2     | 100    |
+      | at_most_once     | e1, e2     | 100    |
+      | stream           | p1, d1     | 100    |
+      | stream           | p1, d1     | 9000   |
+      | resumable stream | p1, d1, d2 | 9000   |
+
+  Scenario: A prompt that is refused while it is exported is not generated from
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "p1" exports after 2000 ms
+    And endpoints crash under the part "bad" after 1000 ms
+    When a call with the part "bad" and 9000 prompt tokens is forwarded
+    Then the caller gets status 503
+    And the call has reached "p1"
+    And the exported prompt of "p1" was freed
+
+  Scenario: A stream that is refused while it runs is not resumed
+    Given a "resumable stream" route over "p1, d1, d2" with 2 endpoints for a call
+    And "d2" answers "stalls"
+    And endpoints crash under the part "bad" after 1000 ms
+    When a call with the part "bad" and 100 prompt tokens is forwarded that reaches "d2" first
+    Then the caller gets status 502
+    And the call has reached "d2"
+
+  Scenario: A call that is refused while it runs is not retried
+    Given a "idempotent" route over "e1, e2" with 2 endpoints for a call
+    And "e1" answers "silent"
+    And endpoints crash under the part "bad" after 300 ms
+    When a call with the part "bad" and 100 prompt tokens is forwarded that reaches "e1" first
+    Then the caller gets status 502
+    And the call has reached "e1"
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -130,12 +130,17 @@
   await waitForEnd(this);
 });
 
-function startStream(world: ForwardWorld, promptTokens: number): void {
+function startStream(
+  world: ForwardWorld,
+  promptTokens: number,
+  { shared = [] }: { readonly shared?: readonly string[] } = {},
+): void {
+  const ids = shared.length > 0 ? [...shared, "own"] : [];
+  const tokens = promptTokens / ids.length;
+  const parts = ids.map((id) => ({ id, tokens }));
   startCall(
     world,
-    buildCall({
-      work: { model: "m", promptTokens, outputTokens: 10, parts: [] },
-    }),
+    buildCall({ work: { model: "m", promptTokens, outputTokens: 10, parts } }),
   );
 }
 
@@ -160,6 +165,45 @@
   },
 );
 
+function crashUnderPart(world: ForwardWorld, part: string): void {
+  const crashes = [1, 2, 3].map((startedAtMs) => ({
+    endpoint: "former",
+    startedAtMs,
+    ageMs: 1,
+    traits: [`part:${part}`],
+  }));
+  world.crashes.applyReports({ crashes, successes: [] }, 0);
+}
+
+Given("endpoints have crashed under the part {string}", function (
+  this: ForwardWorld,
+  part: string,
+): void {
+  crashUnderPart(this, part);
+});
+
+Given("endpoints crash under the part {string} after {int} ms", function (
+  this: ForwardWorld,
+  part: string,
+  ms: number,
+): void {
+  setTimeout(() => crashUnderPart(this, part), ms);
+});
+
+When(
+  /^a call with the part "(.+)" and (\d+) prompt tokens is forwarded(?: that reaches "(.+)" first)?$/,
+  async function (
+    this: ForwardWorld,
+    part: string,
+    tokens: string,
+    first: string | null,
+  ): Promise<void> {
+    if (first) loadOthers(this, first);
+    startStream(this, Number(tokens), { shared: [part] });
+    await waitForEnd(this);
+  },
+);
+
 Then("the caller gets status {int}", async function (
   this: ForwardWorld,
   status: number,
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -1,15 +1,14 @@
 /** Streams the answer of an engine to the caller as it arrives. */
 import { type ListedEndpoint, Outcome } from "../../types/index.ts";
 import { CallEnd, type OpenCall } from "../../process/fleet/index.ts";
+import { buildMalformed, closeAnswer, readBody } from "./answer_body.ts";
 import {
-  closeAnswer,
   getAgeMs,
   mayRunAgain,
-  readBody,
   recordFailure,
   recordWhole,
 } from "./attempt.ts";
-import { createEventSplitter } from "./event_splitter.ts";
+import { createEventSplitter, createStreamEnd } from "./event_splitter.ts";
 import type { StreamState } from "./stream_state.ts";
 import type { EndpointAnswer, ForwardEnd } from "./types.ts";
 
@@ -26,6 +25,8 @@
 const redirect = 300;
 /** Idle timeout after which a resumable stream moves to another engine, in ms: several times the pauses of full engines. */
 const streamIdleTimeoutMs = 1_500;
+/** Longest event of a stream that can resume, in bytes, as its bytes are held until it ends. */
+const maxEventBytes = 1_048_576;
 
 /** Relays a run to its end; returns an error if the stream broke or the call may run at another engine. */
 export async function relayRun(
@@ -64,21 +65,25 @@
   const { answer, open } = run;
   // If the stream can resume, the caller must get complete events only.
   const splitter = state.route.resumable ? createEventSplitter() : undefined;
+  const end = createStreamEnd();
   const idleTimer = splitter &&
     setTimeout(() => run.abort.abort(), streamIdleTimeoutMs);
   try {
     for await (const chunk of answer.body) {
       open.markPromptComputed();
       idleTimer?.refresh();
+      end.add(chunk);
       const split = splitter ? splitter.add(chunk) : { bytes: chunk };
+      if ((splitter?.countBuffered() ?? 0) > maxEventBytes) {
+        throw buildMalformed("event is too long");
+      }
       if (!split) continue;
       state.lastId = split.lastId ?? state.lastId;
       startAnswer(state, answer);
       await state.answer.write(split.bytes);
     }
+    if (!end.isWhole(answer)) throw buildMalformed("stream ended too early");
     startAnswer(state, answer);
-    const rest = splitter?.flush();
-    if (rest && rest.length > 0) await state.answer.write(rest);
   } finally {
     clearTimeout(idleTimer);
   }
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -5,6 +5,7 @@
  * complete event.
  */
 import { type ListedEndpoint, RefusalReason } from "../../types/index.ts";
+import { dropBody } from "./answer_body.ts";
 import {
   allowSend,
   type CallState,
@@ -13,7 +14,6 @@
   getLeftMs,
   isUnsent,
   mayRunAgain,
-  readBody,
   recordFailure,
   refuseCrashing,
   refuseWithoutEndpoint,
@@ -169,7 +169,7 @@
       state.held = undefined;
       return { answer, engine, open, abort };
     }
-    await readBody(answer).catch(() => undefined);
+    await dropBody(answer);
     const end = classifyRefusal(status);
     open.close(end);
     recordRefusal(state, { endpoint: engine.name, status, step: "generate" });
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -8,6 +8,7 @@
   RemoteFailure,
 } from "../../types/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
+import { dropBody, readBody } from "./answer_body.ts";
 import {
   allowSend,
   type CallState,
@@ -16,7 +17,6 @@
   getLeftMs,
   isUnsent,
   mayRunAgain,
-  readBody,
   recordFailure,
   recordWhole,
   refuseCrashing,
@@ -110,11 +110,14 @@
       leftMs: getLeftMs(state),
       rank: route.rank,
     }, { signal, maxIdleMs: getMaxIdleMs(state) });
-    const body = await readBody(answer);
     if (answer.head.notRun) {
+      await dropBody(answer);
       end = classifyRefusal(answer.head.status);
       state.excluded.add(endpoint.name);
-    } else if (isServerError({ answer })) {
+      return { answer, body: Buffer.alloc(0), endpoint };
+    }
+    const body = await readBody(answer);
+    if (isServerError({ answer })) {
       end = CallEnd.Failed;
     } else {
       recordWhole(state, endpoint, answer);
