Read and write everything anew when the store comes back from an older copy

Offsets were compared as if they only rose: the page of the copy was ignored as older, reads at lost offsets failed for ever, what the entries had registered stayed lost, and the number of a claim could be given twice.

An instance that learns of a new era, by a read or from a digest, ends its long polls, registers again and stores its crash evidence again; duties wait until lost claims have run out. For 10 s an entry of the copy does not replace a newer one of the same process, or bring back one that was removed, and entries that the copy lacks go on for the time in which servers write theirs again. A duty whose history has expired reads its newest claim; before, it could not claim again.

--- a/packages/core/src/process/fleet/duty.ts
+++ b/packages/core/src/process/fleet/duty.ts
@@ -6,7 +6,13 @@
  * makes its own claim, so that no lease is renewed while there is no work.
  */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
-import type { InstanceName, WritableTopic } from "../../types/index.ts";
+import {
+  type InstanceName,
+  RemoteError,
+  RemoteFailure,
+  type TopicPage,
+  type WritableTopic,
+} from "../../types/index.ts";
 import { fleetEvents } from "./events.ts";
 
 /** Value of a claim's record in the topic. */
@@ -52,15 +58,34 @@
   const log = options.logEvent ?? logEvent;
   let next = 0;
   let started = false;
+  let era: number | undefined;
+  /** Until then claims of a former era that were lost may still be in use. */
+  let lostUntilMs = -Infinity;
   let newest:
     | { readonly holder: InstanceName; readonly readMs: number }
     | undefined;
 
+  async function fetchPage(): Promise<TopicPage<DutyClaim>> {
+    try {
+      return started
+        ? await topic.read(next, { waitMs: 0, signal: options.signal })
+        : await topic.fetchNewest(options.signal);
+    } catch (error) {
+      const expired = error instanceof RemoteError &&
+        error.failure === RemoteFailure.Expired;
+      if (expired) started = false;
+      throw error;
+    }
+  }
+
   async function readClaims(): Promise<void> {
-    const page = started
-      ? await topic.read(next, { waitMs: 0, signal: options.signal })
-      : await topic.fetchNewest(options.signal);
+    const page = await fetchPage();
     started = true;
+    const pageEra = page.era ?? 0;
+    if (era !== undefined && pageEra > era) {
+      lostUntilMs = performance.now() + blockingLeases * options.leaseMs;
+    }
+    era = pageEra;
     next = Math.max(next, page.next);
     const last = page.records.at(-1)?.value;
     if (last) newest = { holder: last.holder, readMs: performance.now() };
@@ -86,6 +111,9 @@
     try {
       await readClaims();
       if (isBlocked()) return refuse("another instance has claimed it");
+      if (performance.now() < lostUntilMs) {
+        return refuse("a lost claim may still be in use");
+      }
       const sentMs = performance.now();
       const sentDateMs = Date.now();
       const offset = await topic.append({
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -50,6 +50,8 @@
 export interface EndpointListOptions {
   /** Time since the store became readable again after an outage, in ms; Infinity if there was none. */
   readonly getSinceRecoveryMs: () => number;
+  /** Whether the store may still list entries of an older copy; an entry that its process has replaced since is then ignored. */
+  readonly isRestoring?: () => boolean;
   /** Called with each endpoint that is removed or whose process was restarted. */
   readonly onReplaced?: (endpoint: ListedEndpoint) => void;
   readonly logEvent?: LogEvent;
@@ -61,6 +63,9 @@
  */
 const reregistrationMs = 2_500;
 
+/** Processes whose newest entry is remembered after they were removed. */
+const maxRemoved = 1_024;
+
 interface Entry {
   endpoint: ListedEndpoint;
   /** When a lapsed endpoint is removed, on the monotonic clock; undefined while the endpoint is listed. */
@@ -74,9 +79,31 @@
   let next = 0;
   let changed = 0;
   let hasChanged = false;
+  /** Newest entries of processes that were removed, oldest first. */
+  const removed = new Map<EndpointName, ListedEndpoint>();
+
+  /** Whether an entry is older than one of the same process, or as old as the one that was removed. */
+  function isOutdated(endpoint: ListedEndpoint): boolean {
+    if (!options.isRestoring?.() || endpoint.sequence === undefined) {
+      return false;
+    }
+    const listed = entries.get(endpoint.name)?.endpoint;
+    const known = listed ?? removed.get(endpoint.name);
+    if (!known || isRestart(known, endpoint)) return false;
+    const sequence = known.sequence ?? -Infinity;
+    return listed
+      ? endpoint.sequence < sequence
+      : endpoint.sequence <= sequence;
+  }
 
   function setEndpoint(endpoint: ListedEndpoint): void {
     const known = entries.get(endpoint.name);
+    if (isOutdated(endpoint)) {
+      return log(fleetEvents.endpointOutdated, {
+        ...describe(endpoint, next),
+        sequence: endpoint.sequence,
+      });
+    }
     entries.set(endpoint.name, { endpoint });
     if (!known || !isSame(known.endpoint, endpoint)) hasChanged = true;
     if (known && isRestart(known.endpoint, endpoint)) {
@@ -108,6 +135,12 @@
 
   function deleteEntry(endpoint: ListedEndpoint): void {
     entries.delete(endpoint.name);
+    removed.delete(endpoint.name);
+    removed.set(endpoint.name, endpoint);
+    const [oldest] = removed.keys();
+    if (removed.size > maxRemoved && oldest !== undefined) {
+      removed.delete(oldest);
+    }
     hasChanged = true;
     log(fleetEvents.endpointGone, describe(endpoint, next));
     options.onReplaced?.(endpoint);
--- a/packages/core/src/process/fleet/events.ts
+++ b/packages/core/src/process/fleet/events.ts
@@ -130,4 +130,15 @@
     severity: Severity.Info,
     message: "digests of an instance arrive without delay again",
   },
+  storeRestored: {
+    number: 825,
+    severity: Severity.Warning,
+    message:
+      "store came back from an older copy; its topics are read and written anew",
+  },
+  endpointOutdated: {
+    number: 826,
+    severity: Severity.Info,
+    message: "older entry of an endpoint is ignored",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -52,6 +52,8 @@
   readonly isReadable: () => boolean;
   /** Continues from an offset that a peer has read `ageMs` ago; a lower offset than the current one changes nothing. */
   readonly advanceTo: (next: number, ageMs?: number) => void;
+  /** Records that the store came back from an older copy, as after an outage. */
+  readonly markRestored: () => void;
   /** Aborts the current read, whose connection may be dead, and reads again after a backoff. */
   readonly interrupt: () => void;
 }
@@ -112,7 +114,8 @@
     failures = 0;
     recordRecovery();
     readMs = options.longPollMs > 0 ? performance.now() : sentMs;
-    const applied = { records, next: page.next, whole: fetchedNewest };
+    const { era } = page;
+    const applied = { records, next: page.next, era, whole: fetchedNewest };
     next = Math.max(next, page.next);
     options.onPage(applied);
   }
@@ -212,6 +215,9 @@
       next = offset;
       needsNewest = false;
     },
+    markRestored: () => {
+      recoveredMs = performance.now();
+    },
     interrupt: () => {
       interrupted = true;
       reading.abort();
--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -32,6 +32,8 @@
   readonly listChanged: number;
   /** Age of the sender's list when the digest was sent, in ms. */
   readonly listAgeMs: number;
+  /** Era of the store, 0 if absent; rises when it comes back from an older copy. */
+  readonly storeEra?: number;
   /** Whether the instance reads the store on behalf of its failure domain. */
   readonly readsStore: boolean;
   readonly loads: LoadReports;
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -89,6 +89,8 @@
   readonly role?: EngineRole;
   /** Start of the process in ms since the epoch; differs after a restart. */
   readonly startedAtMs?: number;
+  /** Counts the entries that the process has written, so that an older one can be told. */
+  readonly sequence?: number;
 }
 
 /** A section of a prompt; requests with the same id share its content. */
--- a/packages/core/src/types/keyed_topics.ts
+++ b/packages/core/src/types/keyed_topics.ts
@@ -2,7 +2,9 @@
  * Interfaces of the topics in the platform's store. A topic is an ordered log
  * that keeps the newest record of each key. Adapters implement them.
  * All methods reject with `RemoteError`; its failure is `RemoteFailure.Expired`
- * when a read starts before the first retained record.
+ * when a read starts before the first retained record, or at an offset of a
+ * former era: a store that comes back from an older copy begins a new one, whose
+ * offsets are higher than all before.
  */
 
 /** One record of a topic. */
@@ -17,6 +19,8 @@
 export interface TopicPage<Value> {
   readonly records: readonly TopicRecord<Value>[];
   readonly next: number;
+  /** Era of the store, 0 if absent; rises when it comes back from an older copy. */
+  readonly era?: number;
 }
 
 /** Options of one read of a topic. */
--- a/packages/node/src/entry/crash_record.ts
+++ b/packages/node/src/entry/crash_record.ts
@@ -15,6 +15,8 @@
 export interface CrashRecord {
   /** Writes the evidence after a short delay, if what has to be stored has changed. */
   readonly scheduleWrite: () => void;
+  /** Writes the evidence again, as the store may have lost it. */
+  readonly writeAgain: () => void;
 }
 
 /** Dependencies of the record. */
@@ -36,7 +38,7 @@
 export function keepCrashRecord(options: CrashRecordOptions): CrashRecord {
   const { topic, crashes, signal, logEvent } = options;
   /** Content of the own record, without ages. */
-  let written = describeContent([]);
+  let written = emptyContent;
   let changed = false;
   let writing = false;
 
@@ -91,14 +93,24 @@
   }
 
   const whenRead = runWithRetries(readAll, crashEvents.evidenceNotRead);
+
+  function scheduleWrite(): void {
+    changed = true;
+    if (!writing) void writeUntilUnchanged();
+  }
+
   return {
-    scheduleWrite(): void {
-      changed = true;
-      if (!writing) void writeUntilUnchanged();
+    scheduleWrite,
+    writeAgain(): void {
+      written = emptyContent;
+      scheduleWrite();
     },
   };
 }
 
+/** Content of a record that is not there, or without crashes. */
+const emptyContent = "[]";
+
 /** Describes stored crashes without their ages, to see whether they have changed. */
 function describeContent(crashes: StoredCrashes["crashes"]): string {
   return JSON.stringify(
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -196,6 +196,7 @@
       onVersion: () => undefined,
       onUpdate: () => undefined,
       onCrashEvidence: () => undefined,
+      onStoreRestored: () => undefined,
       onListRead: () => undefined,
       onDigestDelay: () => undefined,
       isStopping: () => false,
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -54,7 +54,7 @@
 /** Fields of a digest on the list of endpoints. */
 type ListStatus = Pick<
   PeerDigest,
-  "listNext" | "listChanged" | "listAgeMs" | "readsStore"
+  "listNext" | "listChanged" | "listAgeMs" | "readsStore" | "storeEra"
 >;
 
 /** Settings, dependencies and listeners of `openFleetView`. */
@@ -67,6 +67,8 @@
   readonly onUpdate: () => void;
   /** Called after each change of the crash evidence. */
   readonly onCrashEvidence: () => void;
+  /** Called when the store has come back from an older copy, which may lack what this instance wrote. */
+  readonly onStoreRestored: () => void;
   /** Called after each read of the list by this instance, with its recent changes. */
   readonly onListRead: (update: ListUpdate | undefined) => void;
   /** Called with the transit delay of each accepted digest, in ms. */
@@ -91,6 +93,8 @@
 const discoveryMs = 5_000;
 /** Transit delay of digests above which their sender counts as delayed, in ms: far above the round trips and batch delays. */
 const lateDigestMs = 1_000;
+/** Time after the return of the store from an older copy in which its entries may be old, in ms: servers write theirs again in about 2 s. */
+const restoringMs = 10_000;
 /** Age that digests report for a list that was never read, in ms. */
 const neverReadAgeMs = 1e9;
 
@@ -99,6 +103,9 @@
   const { settings, topics, logEvent, signal } = options;
   let version: RouteIndex | undefined;
   let fetching = false;
+  /** Era of the store; undefined before the first read. */
+  let storeEra: number | undefined;
+  let restoredMs = -Infinity;
   /** Whether a peer's newer state could not be fetched, until the next own read. */
   let fetchFailed = false;
   /** Last result of `isReader`, for the log and digests. */
@@ -117,6 +124,7 @@
   });
   const endpoints = createEndpointList({
     getSinceRecoveryMs: () => endpointTopic.getSinceRecoveryMs(),
+    isRestoring: () => performance.now() - restoredMs < restoringMs,
     onReplaced(endpoint): void {
       endpointTracker.forget(endpoint.name);
       if (!endpoint.leaving) crashes.recordEnd(endpoint, EndSign.List);
@@ -172,11 +180,26 @@
     return reads;
   }
 
+  /** Called with the era of each page and digest, before their content is applied. */
+  function acceptEra(era = 0, from = "store"): void {
+    const former = storeEra ?? era;
+    storeEra = Math.max(former, era);
+    if (era <= former) return;
+    restoredMs = performance.now();
+    logEvent(fleetEvents.storeRestored, { era, former, from });
+    endpointTopic.markRestored();
+    // Long polls wait at offsets of the former era.
+    configuration.interrupt();
+    instances.interrupt();
+    options.onStoreRestored();
+  }
+
   const configuration: FollowedTopic = followTopic(topics.configuration, {
     name: "configuration",
     intervalMs: longPollIntervalMs,
     longPollMs,
-    onPage: ({ records }) => {
+    onPage: ({ records, era }) => {
+      acceptEra(era);
       for (const { value } of records) {
         if (value) applyConfiguration(value, "store");
       }
@@ -189,7 +212,8 @@
     name: "instances",
     intervalMs: longPollIntervalMs,
     longPollMs,
-    onPage: ({ records }) => {
+    onPage: ({ records, era }) => {
+      acceptEra(era);
       for (const { value } of records) if (value) peers.register(value);
     },
     isNeeded: () => performance.now() - startedMs < discoveryMs || isReader(),
@@ -202,6 +226,7 @@
     longPollMs: 0,
     onPage: (page) => {
       fetchFailed = false;
+      acceptEra(page.era);
       const before = endpoints.getOffsets();
       endpoints.apply(page);
       listUpdates.add(page, {
@@ -326,12 +351,14 @@
         ),
         readsStore: readingStore &&
           endpointTopic.getReadAgeMs() < intervalMs * maxMissedReads,
+        storeEra: storeEra || undefined,
       };
     },
     getListAgeMs: () => endpointTopic.getAgeMs(),
     acceptDigest(digest, fetchState): void {
       if (!peers.acceptDigest(digest)) return;
       // The list has aged while the digest was in transit.
+      acceptEra(digest.storeEra, digest.name);
       const delayMs = recordDelay(digest);
       const listAgeMs = digest.listAgeMs + delayMs;
       endpointTracker.applyReports(digest.name, digest);
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -74,6 +74,8 @@
   readonly dependencies: ForwardDependencies;
   readonly shutdown: AbortController;
   readonly state: EntryState;
+  /** Registers this instance in the store. */
+  readonly register: () => void;
 }
 
 /** Mutable state of a running entry. */
@@ -103,12 +105,7 @@
   const version = fleet.getVersion();
   if (version) state.front.applyLimits(version.limits);
   const readiness = await openReadiness(running);
-  void registerInstance({
-    settings,
-    topic: running.topics.instances,
-    logEvent: options.logEvent,
-    signal: running.shutdown.signal,
-  });
+  running.register();
   options.logEvent(entryEvents.started, {
     instance: settings.instance,
     failureDomain: settings.failure_domain,
@@ -155,6 +152,10 @@
     onVersion: ({ limits }) => state.front?.applyLimits(limits),
     onUpdate: () => state.peerLink?.scheduleDigest(),
     onCrashEvidence: () => crashRecord.scheduleWrite(),
+    onStoreRestored(): void {
+      register();
+      crashRecord.writeAgain();
+    },
     onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
@@ -166,6 +167,13 @@
     logEvent,
     signal: shutdown.signal,
   });
+  const register = (): void =>
+    void registerInstance({
+      settings,
+      topic: topics.instances,
+      logEvent,
+      signal: shutdown.signal,
+    });
   const crashRecord = keepCrashRecord({
     instance: settings.instance,
     topic: topics.crashes,
@@ -202,6 +210,7 @@
     dependencies,
     shutdown,
     state,
+    register,
   };
 }
 
