Refuse completions with a prompt prefix under which engines crash, in the daemon

It now keeps the same crash evidence for prefixes of prompts, exchanges the newest of it with its peers, and refuses at admission and at each choice of an engine. Without the check the first scenario of prompt_crashes.feature fails; with it all three pass. Repeats of one request are still found after two crashes.

An instance of the former version does not accept digests with the new field.

--- a/packages/core/src/request/completion/dependencies.ts
+++ b/packages/core/src/request/completion/dependencies.ts
@@ -19,6 +19,7 @@
 } from "../routing/index.ts";
 import { type Suspects, SuspectVerdict } from "../suspects/index.ts";
 import type { InFlightRequests } from "./in_flight.ts";
+import type { PromptCrashes } from "./prompt_crashes.ts";
 import {
   type AdmittedRequest,
   AttemptEnd,
@@ -52,6 +53,7 @@
   readonly admission: Admission;
   readonly budget: RetryBudget;
   readonly suspects: Suspects;
+  readonly promptCrashes: PromptCrashes;
   readonly inFlight: InFlightRequests;
   readonly ownDomain: FailureDomain;
   readonly random: () => number;
@@ -93,9 +95,7 @@
   context: CompletionContext,
   options: { readonly signal: AbortSignal },
 ): Promise<Either<Refusal, AdmittedRequest>> {
-  if (context.suspects.getVerdict(call.digest) === SuspectVerdict.Refused) {
-    return Left(refuseSuspect());
-  }
+  if (isRefused(call, context)) return Left(refuseSuspect());
   return await context.admission.enter({
     caller: call.caller.name,
     share: call.caller.share,
@@ -107,6 +107,13 @@
   });
 }
 
+/** Whether engines crashed under the request, or under others with a prefix of its prompt. */
+function isRefused(call: CompletionCall, context: CompletionContext): boolean {
+  const verdict = context.suspects.getVerdict(call.digest);
+  return verdict === SuspectVerdict.Refused ||
+    context.promptCrashes.findVerdict(call) !== undefined;
+}
+
 async function chooseEngine(
   call: CompletionCall,
   context: CompletionContext,
@@ -118,7 +125,7 @@
 ): Promise<Either<Refusal, CompletionRoute>> {
   const { version, excluded, signal } = options;
   const verdict = context.suspects.getVerdict(call.digest);
-  if (verdict === SuspectVerdict.Refused) return Left(refuseSuspect());
+  if (isRefused(call, context)) return Left(refuseSuspect());
   const request = buildRouteRequest(call, context);
   const choose = (
     exclude: ReadonlySet<EndpointName>,
@@ -155,9 +162,7 @@
   const engines = route.prefillEngine === undefined
     ? [route.engine]
     : [route.engine, route.prefillEngine];
-  const removals = engines.map((engine) =>
-    context.inFlight.add(engine, call.digest)
-  );
+  const removals = engines.map((engine) => context.inFlight.add(engine, call));
   return { ...route, release: () => removals.forEach((remove) => remove()) };
 }
 
@@ -185,9 +190,8 @@
     // Wait for trials that other instances open for this request or on this engine.
     const pauseMs = context.evidenceDelayMs * (1 + context.random() / 2);
     await waitFor(pauseMs, options.signal);
-    const verdict = context.suspects.getVerdict(call.digest);
-    const shouldRun = !options.signal.aborted &&
-      verdict !== SuspectVerdict.Refused;
+    const refused = isRefused(call, context);
+    const shouldRun = !options.signal.aborted && !refused;
     if (opened && shouldRun) {
       // The engine may have been drained or failed during the wait.
       const usable = options.isUsable(opened.engine);
@@ -197,7 +201,7 @@
       }
     }
     if (opened) context.suspects.closeTrial(call.digest);
-    if (verdict === SuspectVerdict.Refused) return Left(refuseSuspect());
+    if (refused) return Left(refuseSuspect());
   }
   return Left(refuseTrialTimeout());
 }
@@ -292,10 +296,13 @@
     readonly version: VersionRouting;
   },
 ): Promise<void> {
-  const { suspects, inFlight } = options.context;
-  if (attempt.end === AttemptEnd.Finished) suspects.recordSuccess(call.digest);
+  const { suspects, promptCrashes, inFlight } = options.context;
+  if (attempt.end === AttemptEnd.Finished) {
+    suspects.recordSuccess(call.digest);
+    promptCrashes.recordSuccess(call);
+  }
   if (attempt.end === AttemptEnd.Lost) {
-    inFlight.recordLoss(attempt.engine, call.digest);
+    inFlight.recordLoss(attempt.engine, call);
     await detectCrash(attempt.engine, {
       ...options,
       signal: attempt.signal,
@@ -316,7 +323,7 @@
     readonly signal: AbortSignal;
   },
 ): Promise<void> {
-  const { table, suspects, inFlight } = options.context;
+  const { table } = options.context;
   const view = table.getView(engine);
   const knownId = view?.report?.startId;
   if (knownId === undefined) return;
@@ -328,9 +335,19 @@
   if (startId === undefined && options.signal.aborted) return;
   // An engine that does not answer counts as crashed until it answers again.
   if (startId === undefined) table.setFlags(engine, { unresponsive: true });
-  suspects.recordCrash(engine, inFlight.listSuspects(engine), {
-    startId: knownId,
-  });
+  recordEngineCrash(engine, options.context, { startId: knownId });
+}
+
+/** Records the crash of one start of an engine against all requests that were in flight there. */
+export function recordEngineCrash(
+  engine: EndpointName,
+  context: Pick<CompletionContext, "suspects" | "promptCrashes" | "inFlight">,
+  options: { readonly startId: string },
+): void {
+  const requests = context.inFlight.listSuspects(engine);
+  const digests = requests.map(({ digest }) => digest);
+  context.suspects.recordCrash(engine, digests, options);
+  context.promptCrashes.recordCrash(engine, requests, options);
 }
 
 /** Polls an engine for its start ID; undefined when it does not answer within `probeWindowMs` or the signal aborts. */
--- a/packages/core/src/request/completion/index.ts
+++ b/packages/core/src/request/completion/index.ts
@@ -3,8 +3,14 @@
 export {
   type CompletionContext,
   createCompletionDependencies,
+  recordEngineCrash,
   type VersionRouting,
 } from "./dependencies.ts";
+export {
+  createPromptCrashes,
+  type PromptCrashes,
+  type PromptRequest,
+} from "./prompt_crashes.ts";
 export { streamCompletion } from "./stream_completion.ts";
 export {
   type AdmittedRequest,
--- a/packages/node/src/connection/peers/messages.ts
+++ b/packages/node/src/connection/peers/messages.ts
@@ -5,6 +5,8 @@
 const maxEvidenceEntries = 2_048;
 const maxCrashesPerDigest = 64;
 const maxListEntries = 4_096;
+const maxReportedCrashes = 64;
+const maxTraitsPerCrash = 256;
 
 /** Evidence against requests that may crash engines. */
 const evidenceSchema = z.strictObject({
@@ -24,6 +26,21 @@
   })).max(maxEvidenceEntries).readonly(),
 });
 
+/** Crashes of engines under prompts, and completed prompts. */
+const promptCrashesSchema = z.strictObject({
+  crashes: z.array(z.strictObject({
+    endpoint: z.string().max(maxNameLength),
+    startedAtMs: z.number().min(0),
+    ageMs: z.number().min(0),
+    traits: z.array(z.string().max(maxNameLength)).max(maxTraitsPerCrash)
+      .readonly(),
+  })).max(maxReportedCrashes).readonly(),
+  successes: z.array(z.strictObject({
+    trait: z.string().max(maxNameLength),
+    ageMs: z.number().min(0),
+  })).max(maxListEntries).readonly(),
+});
+
 /** Work that one instance accepted during its newest intervals. */
 const demandSchema = z.strictObject({
   instance: z.string().max(maxNameLength),
@@ -47,6 +64,8 @@
   stopping: z.boolean(),
   demand: z.array(demandSchema).max(maxListEntries),
   evidence: evidenceSchema,
+  /** Absent in digests of former versions. */
+  promptCrashes: promptCrashesSchema.optional(),
   /** Endpoints that announced to the instance that they are leaving. */
   leaving: z.array(z.string().max(maxNameLength)).max(maxListEntries),
 });
--- a/packages/node/src/process/exchange.ts
+++ b/packages/node/src/process/exchange.ts
@@ -31,6 +31,7 @@
     demand: [...instance.demand.listRecentOwnSamples()],
     evidence: instance.suspects.getEvidence(),
     leaving: [...instance.members.listReportedLeaving()],
+    promptCrashes: instance.promptCrashes.getEvidence(),
   };
 }
 
@@ -38,6 +39,9 @@
 export function acceptDigest(instance: Instance, digest: PeerDigest): void {
   instance.demand.acceptPeerSamples(digest.demand);
   instance.suspects.mergeEvidence(digest.evidence);
+  if (digest.promptCrashes) {
+    instance.promptCrashes.mergeEvidence(digest.promptCrashes);
+  }
   for (const endpoint of digest.leaving) {
     instance.members.recordPeerReport(endpoint);
   }
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -12,6 +12,7 @@
   createEndpointTable,
   createInFlightRequests,
   createMembership,
+  createPromptCrashes,
   createRetryBudget,
   createSuspects,
   type EndpointTable,
@@ -26,6 +27,7 @@
   openMemberList,
   openWeightStore,
   parseControlState,
+  type PromptCrashes,
   type ReserveWeightLoad,
   type Suspects,
 } from "@trefoildoor/core";
@@ -61,6 +63,7 @@
   readonly clients: OpenEndpointClients;
   readonly table: EndpointTable;
   readonly suspects: Suspects;
+  readonly promptCrashes: PromptCrashes;
   readonly inFlight: InFlightRequests;
   readonly demand: DemandTracker;
   readonly callTracker: CallTracker;
@@ -109,6 +112,7 @@
     onLeaving: (endpoint) => members.recordLeaving(endpoint),
   });
   const suspects = createSuspects({ instance: name });
+  const promptCrashes = createPromptCrashes({ logEvent });
   const inFlight = createInFlightRequests();
   const demand = createDemandTracker(name);
   const callTracker = createCallTracker(
@@ -125,6 +129,7 @@
     completion: {
       table,
       suspects,
+      promptCrashes,
       inFlight,
       admission: createAdmission({
         getCapacity: (own) =>
@@ -155,6 +160,7 @@
     clients,
     table,
     suspects,
+    promptCrashes,
     inFlight,
     demand,
     callTracker,
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -10,6 +10,7 @@
   isEngineDrained,
   logEvent,
   ProbeKind,
+  recordEngineCrash,
   type ServiceName,
   type SettleCallsOptions,
   settleOrphanedCalls,
@@ -95,7 +96,7 @@
 }
 
 function createWatchOptions(instance: Instance): EndpointWatchOptions {
-  const { table, suspects, inFlight, members, clients } = instance;
+  const { table, members, clients } = instance;
   const { unresponsiveServices: silentServices } = instance.serving;
   return {
     logEvent,
@@ -110,7 +111,7 @@
       else silentServices.delete(endpoint);
     },
     onCrash: (engine, startId) =>
-      suspects.recordCrash(engine, inFlight.listSuspects(engine), { startId }),
+      recordEngineCrash(engine, instance, { startId }),
     onRemoved: (endpoint) => {
       table.removeEngine(endpoint);
       silentServices.delete(endpoint);
