Learn the store's era from digests that state one only

A digest of an instance that had not read the store yet counted as era 0, so a store with a higher one would have looked restored to an instance that starts.

--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -358,7 +358,9 @@
     acceptDigest(digest, fetchState): void {
       if (!peers.acceptDigest(digest)) return;
       // The list has aged while the digest was in transit.
-      acceptEra(digest.storeEra, digest.name);
+      if (digest.storeEra !== undefined) {
+        acceptEra(digest.storeEra, digest.name);
+      }
       const delayMs = recordDelay(digest);
       const listAgeMs = digest.listAgeMs + delayMs;
       endpointTracker.applyReports(digest.name, digest);
