Compute crash verdicts once for all news before the next question

Counts and verdicts are now computed before the next call that asks, not with each piece of news; what is refused does not change.

--- a/packages/core/src/process/crashes/crash_evidence.ts
+++ b/packages/core/src/process/crashes/crash_evidence.ts
@@ -86,8 +86,17 @@
   /** Counted crashes by trait. */
   let counted = new Map<Trait, Set<ProcessId>>();
   let verdicts = new Map<Trait, TraitVerdict>();
+  let changed = false;
+
+  /** Marks counts and verdicts as outdated; they are computed once for all changes before the next question. */
+  function markChanged(): void {
+    changed = true;
+    options.onChange?.();
+  }
 
   function update(): void {
+    if (!changed) return;
+    changed = false;
     expireCrashes(crashes);
     counted = countByTrait(crashes, successes);
     const next = judgeTraits(crashes, {
@@ -100,7 +109,6 @@
     const begun = [...next.values()].filter(({ trait }) => !former.has(trait));
     const ended = [...former.values()].filter(({ trait }) => !next.has(trait));
     if (begun.length + ended.length > 0) options.onVerdicts?.({ begun, ended });
-    options.onChange?.();
   }
 
   /** Where there are too many traits, those of earlier crashes come first. */
@@ -112,9 +120,12 @@
 
   /** Ends verdicts whose time is over. */
   function expireVerdicts(): void {
+    update();
     const oldestMs = performance.now() - verdictMs;
     for (const { lastCrashMs } of verdicts.values()) {
-      if (lastCrashMs < oldestMs) return update();
+      if (lastCrashMs >= oldestMs) continue;
+      markChanged();
+      return update();
     }
   }
 
@@ -140,10 +151,11 @@
         crashes.set(id, crash);
         evictCrashes(crashes, (trait) => verdicts.has(trait));
       }
-      update();
+      markChanged();
       return true;
     },
     addSuccess(trait, ageMs = 0): boolean {
+      update();
       const atMs = performance.now() - ageMs;
       const knownMs = successes.get(trait) ?? -Infinity;
       if (atMs <= knownMs) return false;
@@ -156,7 +168,7 @@
       const cleared = [...counted.get(trait) ?? []].some((id) =>
         (crashes.get(id)?.atMs ?? Infinity) <= atMs
       );
-      if (cleared) update();
+      if (cleared) markChanged();
       return cleared;
     },
     listSuccesses(traits): readonly TraitSuccess[] {
@@ -168,8 +180,14 @@
           : [{ trait, ageMs: Math.round(nowMs - atMs) }];
       });
     },
-    countCrashes: (trait) => counted.get(trait)?.size ?? 0,
-    hasVerdicts: () => verdicts.size > 0,
+    countCrashes(trait): number {
+      update();
+      return counted.get(trait)?.size ?? 0;
+    },
+    hasVerdicts(): boolean {
+      update();
+      return verdicts.size > 0;
+    },
     getVerdict(trait): TraitVerdict | undefined {
       expireVerdicts();
       return verdicts.get(trait);
@@ -178,8 +196,14 @@
       expireVerdicts();
       return [...verdicts.values()];
     },
-    hasSuspects: () => counted.size > 0,
-    listSuspects: () => [...counted.keys()],
+    hasSuspects(): boolean {
+      update();
+      return counted.size > 0;
+    },
+    listSuspects(): readonly Trait[] {
+      update();
+      return [...counted.keys()];
+    },
     listCrashes(
       isIncluded,
       { most = maxCrashes } = {},
