--- /dev/null
+++ b/packages/core/src/process/limits/events.ts
@@ -0,0 +1,16 @@
+/** Numbered log events of the limits that endpoints name, 870 to 879. */
+import { type EventType, Severity } from "../../shared/index.ts";
+
+/** Log events of limits and of what they hold back. */
+export const limitEvents = {
+  limitNamed: {
+    number: 870,
+    severity: Severity.Info,
+    message: "endpoint limits the requests that it takes from all instances",
+  },
+  limitEnded: {
+    number: 871,
+    severity: Severity.Info,
+    message: "endpoint no longer limits the requests that it takes",
+  },
+} satisfies Record<string, EventType>;
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -146,9 +146,14 @@
   const { call, parts } = state;
   if (parts.crashes.findVerdict(call)) throw new RefusedCallError();
   const sentMs = performance.now();
+  parts.limits.recordSend(facts.endpoint);
   const answer = await parts.sender.send(call, facts, options);
   if (answer.head.status !== misdirectedStatus) {
     parts.crashes.recordAnswer(facts.endpoint, sentMs);
+    parts.limits.recordAnswer(facts.endpoint, {
+      perSecond: answer.head.limitPerSecond,
+      step: describeStep(state, facts),
+    });
   }
   const wrong = findAnswerFault(answer, state, facts);
   if (wrong === undefined) return answer;
@@ -156,6 +161,14 @@
   throw new WrongAnswerError(wrong);
 }
 
+function describeStep(
+  { route }: CallState,
+  { exportOnly }: { readonly exportOnly?: boolean },
+): string {
+  if (exportOnly) return "export";
+  return route.kind === CallKind.Stream ? "generate" : "call";
+}
+
 function findAnswerFault(
   { head }: EndpointAnswer,
   state: CallState,
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -11,6 +11,7 @@
   type CrashWatch,
   createCrashWatch,
 } from "../../process/crashes/index.ts";
+import { createEndpointLimits } from "../../process/limits/index.ts";
 import { CallKind, type ForwardCall } from "../../types/index.ts";
 import {
   buildRouteIndex,
@@ -121,6 +122,7 @@
     endpointTracker: world.tracker,
     speeds: createPrefillSpeeds(),
     crashes: world.crashes,
+    limits: createEndpointLimits({ logEvent: () => undefined }),
     budget: {
       recordCall: () => undefined,
       consumeRepeat: () => true,
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -16,6 +16,7 @@
   PrefillSpeeds,
 } from "../../process/fleet/index.ts";
 import type { CrashWatch } from "../../process/crashes/index.ts";
+import type { EndpointLimits } from "../../process/limits/index.ts";
 import type { SharedBudget } from "../retries/index.ts";
 
 /** An endpoint's answer while its body arrives. */
@@ -97,6 +98,7 @@
   readonly speeds: PrefillSpeeds;
   readonly budget: SharedBudget;
   readonly crashes: CrashWatch;
+  readonly limits: EndpointLimits;
   /** Whether an engine takes no work because its role changes. */
   readonly isChangingRole: (endpoint: EndpointName) => boolean;
   readonly ownDomain: string;
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -163,6 +163,8 @@
   readonly genuine: boolean;
   /** Whether the body has a content encoding that was not requested. */
   readonly encoded: boolean;
+  /** Requests a second that the endpoint takes from all instances together; absent if it names no limit. */
+  readonly limitPerSecond?: number;
 }
 
 /** State reported by an engine; some hundred ms old. */
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -8,10 +8,12 @@
   type CrashWatch,
   createCrashWatch,
   createDigestDelays,
+  createEndpointLimits,
   createEndpointList,
   createEndpointTracker,
   createListUpdates,
   createPeerRegistry,
+  type EndpointLimits,
   type EndpointList,
   type EndpointTracker,
   EndSign,
@@ -35,6 +37,7 @@
   readonly endpoints: EndpointList;
   readonly endpointTracker: EndpointTracker;
   readonly crashes: CrashWatch;
+  readonly limits: EndpointLimits;
   readonly peers: PeerRegistry;
   /** Route index of the configuration in force; undefined before the first. */
   readonly getVersion: () => RouteIndex | undefined;
@@ -113,6 +116,7 @@
   const startedMs = performance.now();
   const intervalMs = settings.leaving_ms / readsPerLeavingTime;
   const endpointTracker = createEndpointTracker({ logEvent });
+  const limits = createEndpointLimits({ logEvent });
   const peers = createPeerRegistry({ instance: settings.instance, logEvent });
   const digestDelays = createDigestDelays();
   const listUpdates = createListUpdates();
@@ -333,6 +337,7 @@
     endpoints,
     endpointTracker,
     crashes,
+    limits,
     peers,
     getVersion: () => version,
     getState: () => ({
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -234,6 +234,7 @@
     endpointTracker: fleet.endpointTracker,
     speeds: createPrefillSpeeds(),
     crashes: fleet.crashes,
+    limits: fleet.limits,
     budget: createSharedBudget(
       { ratio, slack, windowMs: windowS * msPerSecond },
       { countInstances: fleet.peers.countInstances },
