Keep to the limits of endpoints over all instances

Callers saw nothing; engines that had named 3 and 3.3 requests a second got 49 and 50 in 4 s (23 and 25 allowed). Cause: no instance read the limit (first hypothesis: events 870 and 871 appear while the load does not change). Class: a bound over all instances that each instance would have to share.

Each instance now has a copy of one token bucket for each limited endpoint: its own requests count at once, the others' as digests report them, and calls that may take a token meanwhile are allowed for. All ways to an endpoint lead through the check: first sends, retries, exports, generations from exports, resumed streams. A call that fits nowhere is refused at once, with the time of its turn. The planner of roles leaves limited engines out, so that others generate.

--- a/packages/core/src/process/fleet/keep_roles.feature
+++ b/packages/core/src/process/fleet/keep_roles.feature
@@ -16,6 +16,11 @@
       | 5       | 1      | 0.75  | p1 to decode     |
       | 2       | 1      | 0.9   |                  |
 
+  Scenario: Engines that limit their requests count for nothing
+    Given a pool with 6 prefill and 2 decode engines
+    And "d1, d2" limit their requests
+    Then with a share of 0.75 the plan is "p1 to decode, p2 to decode"
+
   Scenario: The first instance orders once the wish has held for two checks
     Given a pool with 3 prefill and 5 decode engines
     And an instance that keeps a share of 0.62
--- a/packages/core/src/process/fleet/keep_roles.steps.ts
+++ b/packages/core/src/process/fleet/keep_roles.steps.ts
@@ -32,6 +32,8 @@
   answering: boolean;
   changing: boolean;
   isDutyFree: boolean;
+  /** Engines that limit their requests. */
+  limited?: ReadonlySet<string>;
   stopRoles: AbortController;
 }
 
@@ -102,6 +104,7 @@
     let fence = 0;
     this.reconciler = reconcileRoles({
       instance: "a",
+      isLimited: () => false,
       duty: {
         claim: () => {
           if (!this.isDutyFree) return Promise.resolve(undefined);
@@ -181,6 +184,13 @@
   applyEngines(this);
 });
 
+Given(
+  "{string} limit their requests",
+  function (this: RolesWorld, names: string): void {
+    this.limited = new Set(names.split(", "));
+  },
+);
+
 Then(
   "with a share of {float} the plan is {string}",
   function (this: RolesWorld, prefillShare: number, expected: string): void {
@@ -189,6 +199,7 @@
       changing: [],
       prefillShare,
       endpointTracker: createEndpointTracker({ logEvent: () => undefined }),
+      isLimited: (engine) => this.limited?.has(engine) ?? false,
     });
     const text = plan.map(({ endpoint, role }) =>
       `${endpoint.name} to ${role}`
--- a/packages/core/src/process/fleet/keep_roles.ts
+++ b/packages/core/src/process/fleet/keep_roles.ts
@@ -5,6 +5,7 @@
  */
 import { type LogEvent, logEvent, waitFor } from "../../shared/index.ts";
 import {
+  type EndpointName,
   type EngineReport,
   type EngineRole,
   type ListedEndpoint,
@@ -31,6 +32,8 @@
   readonly control: EngineControl;
   readonly endpoints: EndpointList;
   readonly endpointTracker: EndpointTracker;
+  /** Whether an engine takes only so many requests a second at present. */
+  readonly isLimited: (engine: EndpointName) => boolean;
   /** Services of the active configuration; those without engines are skipped. */
   readonly listServices: () => readonly RoutedService[];
   /** Whether this instance is the one that gives orders. */
@@ -90,6 +93,7 @@
       ),
       prefillShare: options.prefillShare,
       endpointTracker: options.endpointTracker,
+      isLimited: options.isLimited,
     });
     const key = `${service.name} ${listed.length}`;
     if (changes.length === 0) return void consecutiveChecks.delete(key);
--- a/packages/core/src/process/fleet/plan_roles.ts
+++ b/packages/core/src/process/fleet/plan_roles.ts
@@ -1,5 +1,9 @@
 /** Plans how many engines of a pool have the prefill role, and which engines change theirs. */
-import { EngineRole, type ListedEndpoint } from "../../types/index.ts";
+import {
+  type EndpointName,
+  EngineRole,
+  type ListedEndpoint,
+} from "../../types/index.ts";
 import type { EndpointTracker } from "./endpoint_tracker.ts";
 
 /** A planned role change of one engine. */
@@ -17,6 +21,8 @@
   /** Share of the pool's engines that should have the prefill role, from 0 to 1. */
   readonly prefillShare: number;
   readonly endpointTracker: EndpointTracker;
+  /** Whether an engine takes only so many requests a second at present. */
+  readonly isLimited: (engine: EndpointName) => boolean;
 }
 
 /** Minimum of decode engines in a pool of at least `minPoolWithSpare`: the loss of a single one would break every stream. */
@@ -26,7 +32,10 @@
 
 /** Lists the role changes that bring the pool to its prefill share, engines with the fewest calls first; none for a pool of less than two. */
 export function planRoles(input: RolePlanInput): readonly PlannedRole[] {
-  const { engines, changing, endpointTracker } = input;
+  const { changing, endpointTracker } = input;
+  // Engines that limit their requests keep their role and count for nothing.
+  const unlimited = input.engines.filter(({ name }) => !input.isLimited(name));
+  const engines = unlimited.length < 2 ? input.engines : unlimited;
   const total = engines.length + changing.length;
   if (total < 2) return [];
   const targetPrefill = Math.min(
--- a/packages/core/src/process/limits/events.ts
+++ b/packages/core/src/process/limits/events.ts
@@ -13,4 +13,9 @@
     severity: Severity.Info,
     message: "endpoint no longer limits the requests that it takes",
   },
+  callHeldBack: {
+    number: 872,
+    severity: Severity.Warning,
+    message: "call is not sent: the endpoints' limits leave no room for it",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/limits/index.ts
+++ b/packages/core/src/process/limits/index.ts
@@ -2,5 +2,14 @@
 export {
   createEndpointLimits,
   type EndpointLimits,
+  type EndpointLimitsOptions,
+  type LimitAnswer,
+  LimitStep,
 } from "./endpoint_limits.ts";
 export { limitEvents } from "./events.ts";
+export type {
+  LimitReport,
+  LimitReports,
+  ObservedLimit,
+  ReportSource,
+} from "./limit_types.ts";
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -18,6 +18,7 @@
   Unsettled,
 } from "../../process/crashes/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
+import { LimitStep } from "../../process/limits/index.ts";
 import { closeAnswer } from "./answer_body.ts";
 import { buildEndpointFailed, buildNotRun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
@@ -43,6 +44,10 @@
   readonly signal: AbortSignal;
   /** Names of endpoints that failed or refused the call and are not tried again. */
   readonly excluded: Set<string>;
+  /** Names of endpoints at which the call was counted as demand. */
+  readonly considered: Set<string>;
+  /** Endpoint with a limit at which the next request is already counted. */
+  reserved?: string;
   /** Number of endpoints that may have run the call. */
   runs: number;
   /** Sends so far, with those that the retry budget refused; every send after the first uses the budget. */
@@ -146,14 +151,13 @@
   const { call, parts } = state;
   if (parts.crashes.findVerdict(call)) throw new RefusedCallError();
   const sentMs = performance.now();
-  parts.limits.recordSend(facts.endpoint);
+  const reserved = state.reserved === facts.endpoint.name;
+  if (reserved) state.reserved = undefined;
+  else parts.limits.recordSend(facts.endpoint);
   const answer = await parts.sender.send(call, facts, options);
   if (answer.head.status !== misdirectedStatus) {
     parts.crashes.recordAnswer(facts.endpoint, sentMs);
-    parts.limits.recordAnswer(facts.endpoint, {
-      perSecond: answer.head.limitPerSecond,
-      step: describeStep(state, facts),
-    });
+    recordLimit(state, facts, answer);
   }
   const wrong = findAnswerFault(answer, state, facts);
   if (wrong === undefined) return answer;
@@ -161,12 +165,31 @@
   throw new WrongAnswerError(wrong);
 }
 
-function describeStep(
-  { route }: CallState,
-  { exportOnly }: { readonly exportOnly?: boolean },
-): string {
-  if (exportOnly) return "export";
-  return route.kind === CallKind.Stream ? "generate" : "call";
+function recordLimit(
+  { call, parts, route }: CallState,
+  { endpoint, exportOnly }: SendParameters,
+  { head }: EndpointAnswer,
+): void {
+  const step = route.kind === CallKind.Stream
+    ? LimitStep.Generate
+    : LimitStep.Call;
+  const succeeded = head.status >= success && head.status < redirect;
+  parts.limits.recordAnswer(endpoint, {
+    perSecond: head.limitPerSecond,
+    step: exportOnly ? LimitStep.Export : step,
+    succeeded: succeeded && head.callId === call.id,
+  });
+}
+
+/** Whether limits of the endpoint leave room for the call. */
+export function mayUse(state: CallState, endpoint: ListedEndpoint): boolean {
+  const { call, parts, considered, reserved } = state;
+  if (reserved === endpoint.name) return true;
+  if (!considered.has(endpoint.name)) {
+    considered.add(endpoint.name);
+    parts.limits.recordDemand(endpoint);
+  }
+  return parts.limits.mayUse(endpoint, call.id);
 }
 
 function findAnswerFault(
@@ -206,6 +229,18 @@
       retryAfterMs: allDownRetryMs,
     });
   }
+  const heldBack = taking.filter(({ name }) =>
+    !state.excluded.has(name) && state.parts.limits.isLimited(name)
+  );
+  if (heldBack.length > 0) {
+    return buildNotRun(
+      RefusalReason.Limited,
+      "endpoints limit their requests",
+      {
+        retryAfterMs: state.parts.limits.refuse(heldBack, state.call.id),
+      },
+    );
+  }
   return buildNotRun(RefusalReason.Overloaded, "all endpoints are full", {
     retryAfterMs: fullRetryMs,
   });
--- a/packages/core/src/request/forwarding/choose_endpoint.ts
+++ b/packages/core/src/request/forwarding/choose_endpoint.ts
@@ -1,13 +1,13 @@
 /** Load balancing of plain services: prefers endpoints with few calls, in the own failure domain, and with an open connection. */
 import type { ListedEndpoint } from "../../types/index.ts";
-import type { CallState } from "./attempt.ts";
+import { type CallState, mayUse } from "./attempt.ts";
 
 /** Load added to an endpoint in another failure domain, in calls. */
 const otherDomainPenaltyCalls = 1.5;
 /** Load added to an endpoint without an idle open connection, in calls. */
 const connectPenaltyCalls = 1;
 
-/** Chooses an endpoint that the call has not excluded; suspended ones only if no other is left; undefined where none is. */
+/** Chooses an endpoint that the call has not excluded; suspended ones only if no other is left; undefined where none is or limits leave no room. */
 export function chooseEndpoint(
   state: CallState,
   /** Longest time for which a connection may have been idle, in ms. */
@@ -19,7 +19,8 @@
   const healthy = allowed.filter(({ name }) =>
     !endpointTracker.isSuspended(name)
   );
-  const candidates = healthy.length > 0 ? healthy : allowed;
+  const candidates = (healthy.length > 0 ? healthy : allowed)
+    .filter((endpoint) => mayUse(state, endpoint));
   let best:
     | { readonly endpoint: ListedEndpoint; readonly cost: number }
     | undefined;
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -11,7 +11,10 @@
   type CrashWatch,
   createCrashWatch,
 } from "../../process/crashes/index.ts";
-import { createEndpointLimits } from "../../process/limits/index.ts";
+import {
+  createEndpointLimits,
+  type EndpointLimits,
+} from "../../process/limits/index.ts";
 import { CallKind, type ForwardCall } from "../../types/index.ts";
 import {
   buildRouteIndex,
@@ -37,6 +40,7 @@
   endpoints: EndpointList;
   tracker: EndpointTracker;
   crashes: CrashWatch;
+  limits: EndpointLimits;
   version: RouteIndex;
   caller: FakeCaller;
   end?: ForwardEnd;
@@ -80,6 +84,10 @@
     isAccepting: world.endpoints.isAccepting,
     logEvent: () => undefined,
   });
+  world.limits = createEndpointLimits({
+    getNewsDelayMs: () => 0,
+    logEvent: () => undefined,
+  });
   applyEndpoints(world, options.names);
   const kinds: Readonly<Record<string, CallKind>> = {
     idempotent: CallKind.Idempotent,
@@ -122,7 +130,7 @@
     endpointTracker: world.tracker,
     speeds: createPrefillSpeeds(),
     crashes: world.crashes,
-    limits: createEndpointLimits({ logEvent: () => undefined }),
+    limits: world.limits,
     budget: {
       recordCall: () => undefined,
       consumeRepeat: () => true,
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -324,3 +324,43 @@
     When a call with the part "bad" and 100 prompt tokens is forwarded that reaches "e1" first
     Then the caller gets status 502
     And the call has reached "e1"
+
+  Scenario Outline: No way to an endpoint leads past its limit
+    Given a "<kind>" route over "<names>" with 3 endpoints for a call
+    And "<first>" answers "<answer>"
+    And the limits of "<limited>" are used up
+    When a stream with <tokens> prompt tokens is forwarded
+    Then the caller gets status <status>
+    And the call has reached "<reached>"
+
+    Examples: calls, first sends and retries
+      | kind         | names  | first | answer | limited | tokens | status | reached |
+      | idempotent   | e1, e2 | e2    | ok     | e1      | 1      | 200    | e2      |
+      | idempotent   | e1, e2 | e1    | 500    | e2      | 1      | 500    | e1      |
+      | idempotent   | e1, e2 | e1    | lost   | e2      | 1      | 502    | e1      |
+      | at_most_once | e1, e2 | e1    | full   | e2      | 1      | 503    | e1      |
+      | at_most_once | e1, e2 | e1    | ok     | e1, e2  | 1      | 503    |         |
+
+    Examples: generations, exports, generations from an export, resumed streams
+      | kind             | names          | first | answer     | limited | tokens | status | reached |
+      | stream           | d1, d2         | d2    | events 1-3 | d1      | 100    | 200    | d2      |
+      | stream           | d1, d2         | d2    | events 1-3 | d1, d2  | 100    | 503    |         |
+      | stream           | p1, d1         | d1    | events 1-3 | p1      | 9000   | 200    | d1      |
+      | stream           | p1, p2, d1 | d1 | events 1-3 | p1      | 9000   | 200    | p2, d1  |
+      | stream | p1, d1, d2 | d2 | events 1-3 | d1 | 9000   | 200    | p1, d2  |
+      | stream           | p1, d1, d2     | p1    | ok         | d1, d2  | 9000   | 503    |         |
+      | resumable stream | d1, d2         | d1    | lost       | d2      | 100    | 502    | d1      |
+
+  Scenario: A caller whose call fits no limit is told when to come back
+    Given a "at_most_once" route over "e1, e2" with 1 endpoints for a call
+    And the limits of "e1, e2" are used up
+    When a call is forwarded
+    Then the caller gets status 503
+    And the caller is told when to come back
+
+  Scenario: A generation has room when its prompt is exported
+    Given a "stream" route over "p1, d1" with 1 endpoints for a call
+    And "d1" names a limit of 1 a second
+    And "p1" exports after 700 ms
+    When streams with 9000 prompt tokens are forwarded at once
+    Then "p1" and "d1" got one request each
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -48,6 +48,8 @@
   readonly ownDomain: string;
   /** Whether an open connection to the engine is available. */
   readonly isConnected: (engine: ListedEndpoint) => boolean;
+  /** Whether the engine's limit leaves room for the call. */
+  readonly mayUse: (engine: ListedEndpoint) => boolean;
 }
 
 /** Time that an export adds to the prefill, in ms: network, setup and the KV cache transfer. */
@@ -157,7 +159,7 @@
   return engines.filter(({ role }) => role !== EngineRole.Prefill);
 }
 
-/** Engines that the call has not excluded; includes suspended ones only if no other engine generates. */
+/** Engines that the call has not excluded and whose limits leave room; includes suspended ones only if no other engine generates. */
 function listUsable(options: PlacementOptions): readonly ListedEndpoint[] {
   const allowed = options.engines.filter(({ name }) =>
     !options.exclude.has(name)
@@ -165,7 +167,8 @@
   const healthy = allowed.filter(({ name }) =>
     !options.endpointTracker.isSuspended(name)
   );
-  return listGenerating(healthy).length > 0 ? healthy : allowed;
+  return (listGenerating(healthy).length > 0 ? healthy : allowed)
+    .filter(options.mayUse);
 }
 
 function estimateLoadPenaltyMs(
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -70,6 +70,7 @@
     deadlineMs: endsMs,
     signal: AbortSignal.any([answer.left, timeout.signal]),
     excluded: new Set(),
+    considered: new Set(),
     runs: 0,
     sends: 0,
   };
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -107,6 +107,7 @@
       return undefined;
     }
     state.exportTried = true;
+    reserveGenerator(state, placement);
     if (!await exportPrompt(state, placement)) return "again";
   }
   if (!state.held) return "again";
@@ -114,6 +115,16 @@
   return engine && { engine };
 }
 
+/** Counts the generation at once if an engine with a limit is to run it, so that there is room when the prompt is exported. */
+function reserveGenerator(state: StreamState, { engine }: Placement): void {
+  if (state.reserved !== undefined) return;
+  const { limits } = state.parts;
+  const generator = pickGenerator(engine, getPlacementOptions(state));
+  if (!generator || !limits.isLimited(generator.name)) return;
+  limits.recordSend(generator);
+  state.reserved = generator.name;
+}
+
 /** Refuses a call if its caller is expected to give up before the first event; calls that may have run are not refused. */
 function refuseOverloaded(
   state: StreamState,
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -9,6 +9,7 @@
   getAgeMs,
   getLeftMs,
   listSharedParts,
+  mayUse,
 } from "./attempt.ts";
 import { forwardEvents } from "./events.ts";
 import {
@@ -84,6 +85,7 @@
     speeds: parts.speeds,
     ownDomain: parts.ownDomain,
     isConnected: (engine) => parts.sender.isConnected(engine),
+    mayUse: (engine) => mayUse(state, engine),
   };
 }
 
--- a/packages/core/src/types/outcomes.ts
+++ b/packages/core/src/types/outcomes.ts
@@ -22,6 +22,8 @@
   UnknownModel = "unknown_model",
   UnknownService = "unknown_service",
   Overloaded = "overloaded",
+  /** The limits that endpoints name leave no room. */
+  Limited = "limited",
   DeadlineTooShort = "deadline_too_short",
   Suspect = "suspect",
   NoEndpoint = "no_endpoint",
--- a/packages/node/src/entry/entry_roles.ts
+++ b/packages/node/src/entry/entry_roles.ts
@@ -54,6 +54,7 @@
     control: options.platform.createEngineControl(options.channels),
     endpoints: fleet.endpoints,
     endpointTracker: fleet.endpointTracker,
+    isLimited: fleet.limits.isLimited,
     listServices: () => fleet.getVersion()?.configuration.services ?? [],
     isFirst: () =>
       !options.isStopping() &&
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -28,7 +28,7 @@
   type RoutingConfiguration,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
-import type { FleetState } from "./peer_link.ts";
+import { estimateNewsDelayMs, type FleetState } from "./peer_link.ts";
 import type { StoreTopics } from "./platform.ts";
 import type { EntrySettings } from "./settings.ts";
 
@@ -116,7 +116,10 @@
   const startedMs = performance.now();
   const intervalMs = settings.leaving_ms / readsPerLeavingTime;
   const endpointTracker = createEndpointTracker({ logEvent });
-  const limits = createEndpointLimits({ logEvent });
+  const limits = createEndpointLimits({
+    getNewsDelayMs: () => estimateNewsDelayMs(peers, settings.failure_domain),
+    logEvent,
+  });
   const peers = createPeerRegistry({ instance: settings.instance, logEvent });
   const digestDelays = createDigestDelays();
   const listUpdates = createListUpdates();
@@ -131,6 +134,7 @@
     isRestoring: () => performance.now() - restoredMs < restoringMs,
     onReplaced(endpoint): void {
       endpointTracker.forget(endpoint.name);
+      limits.forget(endpoint);
       if (!endpoint.leaving) crashes.recordEnd(endpoint, EndSign.List);
       options.channels.closeIdle(endpoint.address);
     },
@@ -307,6 +311,9 @@
       if (state.crashes) {
         crashes.applyReports(state.crashes, performance.now() - startedMs);
       }
+      if (state.limits) {
+        limits.applyKnown(state.limits, performance.now() - startedMs);
+      }
       if (state.configuration) {
         applyConfiguration(state.configuration, digest.name);
       }
@@ -344,6 +351,7 @@
       configuration: version?.configuration,
       endpoints: endpoints.getSnapshot(),
       crashes: crashes.getSnapshot(),
+      limits: limits.collectReports(),
     }),
     getListStatus(): ListStatus {
       const { next, changed } = endpoints.getOffsets();
@@ -369,6 +377,12 @@
       const delayMs = recordDelay(digest);
       const listAgeMs = digest.listAgeMs + delayMs;
       endpointTracker.applyReports(digest.name, digest);
+      limits.applyReports(digest.limits, {
+        instance: digest.name,
+        start: digest.start,
+        stopping: digest.stopping,
+        delayMs,
+      });
       if (digest.crashes) crashes.applyReports(digest.crashes, delayMs);
       applyUpdate(digest, listAgeMs);
       applyUnchanged(digest, listAgeMs);
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -31,6 +31,8 @@
   readonly heardInstances: number;
   /** Prompt parts and requests that are refused because endpoints crash under them. */
   readonly refusedTraits: number;
+  /** Endpoints that limit the requests of all instances together. */
+  readonly limitedEndpoints: number;
   readonly droppedLogLines: number;
 }
 
@@ -149,6 +151,8 @@
     heardInstances: "Live instances, this one included",
     refusedTraits:
       "Prompt parts and requests that are refused, as endpoints crash under them",
+    limitedEndpoints:
+      "Endpoints that limit the requests of all instances together",
     droppedLogLines: "Log lines dropped since the start",
   };
   for (const [key, help] of Object.entries(gauges)) {
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -12,6 +12,7 @@
 import {
   type CrashReports,
   type EndpointSnapshot,
+  type LimitReports,
   type ListUpdate,
   type PeerAddress,
   type PeerDigest,
@@ -30,6 +31,7 @@
   readonly endpoints: EndpointSnapshot;
   /** Absent in states of former versions. */
   readonly crashes?: CrashReports;
+  readonly limits?: LimitReports;
 }
 
 /** One instance's connection to the other instances. */
@@ -77,6 +79,8 @@
 const relayBatchDelayMs = 300;
 /** Maximum number of digests in one datagram: a few KB, far below the size limit of a datagram. */
 const maxDigestsPerDatagram = 32;
+/** Transit and processing of a digest, in ms. */
+const transitAllowanceMs = 40;
 const maxInitialRotation = 1_024;
 const stateTimeoutMs = 700;
 const maxStateBytes = 8 * 1_048_576;
@@ -177,18 +181,13 @@
     }
   }
 
-  function getBatchDelayMs(): number {
-    const instances = options.peers.countInstances();
-    return batchDelayMs * Math.max(instances / instancesPerBatchDelay, 1);
-  }
-
   void sendHeartbeats();
   return {
     scheduleDigest(): void {
       digestTimer ??= setTimeout(() => {
         digestTimer = undefined;
         sendDigest();
-      }, getBatchDelayMs());
+      }, getBatchDelayMs(options.peers));
     },
     sendUpdate(update): void {
       const message = encodeDigests([{ ...options.buildDigest(), update }]);
@@ -207,6 +206,23 @@
   };
 }
 
+function getBatchDelayMs(peers: PeerRegistry): number {
+  const instances = peers.countInstances();
+  return batchDelayMs * Math.max(instances / instancesPerBatchDelay, 1);
+}
+
+/** Time until a change at one instance has reached all others by digests, in ms, unless digests get lost. */
+export function estimateNewsDelayMs(
+  peers: PeerRegistry,
+  failureDomain: string,
+): number {
+  const members = peers.listRegistered().filter((peer) =>
+    peer.failureDomain === failureDomain
+  );
+  const relayMs = members.length > maxDirectMembers ? relayBatchDelayMs : 0;
+  return getBatchDelayMs(peers) + relayMs + transitAllowanceMs;
+}
+
 async function openStateServer(options: PeerLinkOptions): Promise<Server> {
   const server = createServer((request, response) => {
     request.resume();
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -131,6 +131,7 @@
       configurationVersion: fleet.getVersion()?.version ?? 0,
       listAgeMs: fleet.getListAgeMs(),
       heardInstances: fleet.peers.countInstances(),
+      limitedEndpoints: fleet.limits.listLimited().length,
       refusedTraits: fleet.crashes.listVerdicts().length,
       droppedLogLines: options.countDroppedLines(),
     }),
@@ -297,6 +298,7 @@
     reads: fleet.endpointTracker.listPartReports(),
     down: fleet.endpointTracker.listDown(),
     changing: roles.listOrdered(),
+    limits: fleet.limits.collectReports(),
     stopping: state.stopping,
   });
   return openPeerLink({
--- a/packages/node/src/request/refusals.ts
+++ b/packages/node/src/request/refusals.ts
@@ -14,6 +14,7 @@
   [RefusalReason.UnknownModel]: 404,
   [RefusalReason.UnknownService]: 404,
   [RefusalReason.Overloaded]: 429,
+  [RefusalReason.Limited]: 429,
   [RefusalReason.DeadlineTooShort]: 429,
   [RefusalReason.Suspect]: 422,
   [RefusalReason.NoEndpoint]: 503,
