--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -245,6 +245,7 @@
     service: endpoint.service,
     failureDomain: endpoint.failureDomain,
     role: endpoint.role ?? "none",
+    softwareVersion: endpoint.softwareVersion ?? "none",
     offset: next,
   };
 }
--- a/packages/core/src/request/forwarding/events.ts
+++ b/packages/core/src/request/forwarding/events.ts
@@ -21,7 +21,7 @@
   resumed: {
     number: 833,
     severity: Severity.Info,
-    message: "broken stream resumes at another endpoint",
+    message: "stream that has begun goes on at an endpoint",
   },
   ended: {
     number: 834,
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -81,11 +81,6 @@
       endpoint: start.engine.name,
     });
     if (!mayRunAgain(state)) break;
-    state.parts.logEvent(forwardEvents.resumed, {
-      call: state.call.id,
-      after: state.lastId,
-      runs: state.runs,
-    });
   }
   if (state.signal.aborted) return buildTimedOut({ runs: state.runs });
   return lost ?? refuseWithoutEndpoint(state, fullRetryMs);
@@ -149,6 +144,19 @@
   );
 }
 
+/** Logs a run that goes on with a stream, with the versions of the engines that began and go on. */
+function logStart(state: StreamState, engine: ListedEndpoint): void {
+  if (state.lastId === undefined) return;
+  state.parts.logEvent(forwardEvents.resumed, {
+    call: state.call.id,
+    resumes: state.call.resumes,
+    after: state.lastId,
+    runs: state.runs,
+    endpoint: engine.name,
+    softwareVersion: engine.softwareVersion,
+  });
+}
+
 /**
  * Starts the generation; undefined if the engine certainly did not run the
  * call. An exported prompt remains available for the next engine unless this
@@ -165,6 +173,7 @@
     late: state.late,
   });
   const abort = new AbortController();
+  logStart(state, engine);
   try {
     const answer = await sendCall(state, {
       endpoint: engine,
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -100,6 +100,7 @@
   state.parts.logEvent(forwardEvents.placed, {
     call: state.call.id,
     endpoint: placement?.engine.name,
+    softwareVersion: placement?.engine.softwareVersion,
     exports: placement?.exports,
     copyFrom: placement?.copyFrom?.name,
     late: placement?.late,
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -89,6 +89,8 @@
   readonly role?: EngineRole;
   /** Start of the process in ms since the epoch; differs after a restart. */
   readonly startedAtMs?: number;
+  /** Version of the endpoint's software, which has no order; absent if it is not stated. */
+  readonly softwareVersion?: string;
   /** Counts the entries that the process has written, so that an older one can be told. */
   readonly sequence?: number;
 }
@@ -124,6 +126,8 @@
   readonly work?: GenerationWork;
   /** Id of the last event that the caller received from an earlier answer. */
   readonly resumeAfter?: string;
+  /** Id of the call that brought the first event of the stream with which this one goes on. */
+  readonly resumes?: string;
   /** When the whole call was read, on the clock of `performance.now()`. */
   readonly receivedMs: number;
 }
