Let streams go on only at the software version that began them

Cause (first and second hypothesis together): the version of an endpoint was not read, so a broken stream went on at the cheapest engine; and an instance at which a caller took its stream up could not know who had begun it. Class: state of a stream that only one instance had.

The list carries versions. The first event pins a stream, is recorded before it reaches the caller, and is told to all instances while several versions serve; an instance that does not know a stream asks others. Exports and copied caches stay within a version, which they did not.

--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -228,6 +228,7 @@
 function isSame(known: ListedEndpoint, now: ListedEndpoint): boolean {
   return !isRestart(known, now) && known.role === now.role &&
     known.leaving === now.leaving && known.service === now.service &&
+    known.softwareVersion === now.softwareVersion &&
     known.failureDomain === now.failureDomain && known.slots === now.slots;
 }
 
--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -3,6 +3,7 @@
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
 import type { CrashReports } from "../crashes/index.ts";
 import type { LimitReports } from "../limits/index.ts";
+import type { OriginReports } from "../streams/index.ts";
 import type { DownEndpoints, PartReports } from "./endpoint_tracker.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
@@ -45,6 +46,8 @@
   readonly crashes?: CrashReports;
   /** Limits of endpoints and the instance's own requests there; absent if there are none. */
   readonly limits?: LimitReports;
+  /** Streams that the instance has begun while several software versions serve; absent if there are none. */
+  readonly origins?: OriginReports;
   /** Whether the instance is shutting down. */
   readonly stopping: boolean;
   /** Recent changes of the list, sent by the instance that reads the store to the others of its failure domain. */
--- a/packages/core/src/process/index.ts
+++ b/packages/core/src/process/index.ts
@@ -11,3 +11,4 @@
 export * from "./planner/index.ts";
 export * from "./platform/index.ts";
 export * from "./rollout/index.ts";
+export * from "./streams/index.ts";
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -19,6 +19,10 @@
 } from "../../process/crashes/index.ts";
 import { CallEnd } from "../../process/fleet/index.ts";
 import { LimitStep } from "../../process/limits/index.ts";
+import {
+  streamEvents,
+  type StreamOrigin,
+} from "../../process/streams/index.ts";
 import { closeAnswer } from "./answer_body.ts";
 import { buildEndpointFailed, buildNotRun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
@@ -48,6 +52,8 @@
   readonly considered: Set<string>;
   /** Endpoint with a limit at which the next request is already counted. */
   reserved?: string;
+  /** Where the stream began; the call runs only there from then on. */
+  origin?: StreamOrigin;
   /** Number of endpoints that may have run the call. */
   runs: number;
   /** Sends so far, with those that the retry budget refused; every send after the first uses the budget. */
@@ -221,7 +227,15 @@
       retryAfterMs: noEndpointRetryMs,
     });
   }
-  const allDown = taking.every(({ name, role }) =>
+  const fitting = taking.filter((endpoint) => mayContinueAt(state, endpoint));
+  if (logAbsentVersion(state)) {
+    return buildNotRun(
+      RefusalReason.NoEndpoint,
+      "no endpoint of the stream's software version takes work",
+      { retryAfterMs: allDownRetryMs },
+    );
+  }
+  const allDown = fitting.every(({ name, role }) =>
     role === EngineRole.Prefill || endpointTracker.isSuspended(name)
   );
   if (allDown) {
@@ -229,7 +243,7 @@
       retryAfterMs: allDownRetryMs,
     });
   }
-  const heldBack = taking.filter(({ name }) =>
+  const heldBack = fitting.filter(({ name }) =>
     !state.excluded.has(name) && state.parts.limits.isLimited(name)
   );
   if (heldBack.length > 0) {
@@ -246,6 +260,30 @@
   });
 }
 
+/** Whether what the endpoint writes fits to the events that the caller has. */
+export function mayContinueAt(
+  { origin }: CallState,
+  { softwareVersion = "" }: ListedEndpoint,
+): boolean {
+  return origin === undefined || origin.version === softwareVersion;
+}
+
+/** Logs that no endpoint of the stream's version takes work, if that is so. */
+export function logAbsentVersion(state: CallState): boolean {
+  const { call, parts, origin, runs, service } = state;
+  const taking = parts.endpoints.listAccepting(service);
+  if (taking.some((endpoint) => mayContinueAt(state, endpoint))) return false;
+  const versions = taking.map(({ softwareVersion = "" }) => softwareVersion);
+  parts.logEvent(streamEvents.versionAbsent, {
+    call: call.id,
+    resumes: call.resumes,
+    version: origin?.version,
+    versions: [...new Set(versions)].join(" "),
+    runs,
+  });
+  return true;
+}
+
 /** Ids of the prompt parts that other calls may share; the last part belongs to this call or its session. */
 export function listSharedParts({ work }: ForwardCall): readonly string[] {
   return work?.parts.slice(0, -1).map(({ id }) => id) ?? [];
--- a/packages/core/src/request/forwarding/estimate_reads.ts
+++ b/packages/core/src/request/forwarding/estimate_reads.ts
@@ -62,11 +62,15 @@
   options: PlacementOptions & { readonly late: boolean },
 ): readonly PrefillEstimate[] {
   const { endpointTracker } = options;
-  const coverage = findCoverage(call, options);
+  const coverages = new Map<string | undefined, CacheCoverage>();
   const home = findHomeEngine(call.parts.slice(0, -1), engines);
   const speed = options.speeds.getTokensPerMs(options.service);
   const prompt = call.promptTokens;
   return engines.map((engine) => {
+    const { softwareVersion } = engine;
+    const coverage = coverages.get(softwareVersion) ??
+      findCoverage(call, softwareVersion, options);
+    coverages.set(softwareVersion, coverage);
     const missingTokens = countMissingTokens(call, engine, options);
     const copiedTokens = missingTokens - (prompt - coverage.copyableTokens);
     const copies = copiedTokens >= minCopyTokens;
@@ -132,14 +136,17 @@
   return Math.max(work.promptTokens - seen, 1);
 }
 
+/** Finds what engines of one software version have cached; versions cannot read each other's caches. */
 function findCoverage(
   work: GenerationWork,
+  softwareVersion: string | undefined,
   options: PlacementOptions,
 ): CacheCoverage {
   let minMissingTokens = work.promptTokens;
   let source: ListedEndpoint | undefined;
   let copyableTokens = 0;
   for (const engine of options.engines) {
+    if (engine.softwareVersion !== softwareVersion) continue;
     if (options.endpointTracker.isSuspended(engine.name)) continue;
     minMissingTokens = Math.min(
       minMissingTokens,
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -15,6 +15,10 @@
   createEndpointLimits,
   type EndpointLimits,
 } from "../../process/limits/index.ts";
+import {
+  createStreamOrigins,
+  type StreamOrigins,
+} from "../../process/streams/index.ts";
 import { CallKind, type ForwardCall } from "../../types/index.ts";
 import {
   buildRouteIndex,
@@ -41,6 +45,7 @@
   tracker: EndpointTracker;
   crashes: CrashWatch;
   limits: EndpointLimits;
+  origins: StreamOrigins;
   version: RouteIndex;
   caller: FakeCaller;
   end?: ForwardEnd;
@@ -88,6 +93,12 @@
     getNewsDelayMs: () => 0,
     logEvent: () => undefined,
   });
+  world.origins = createStreamOrigins({
+    listEndpoints: world.endpoints.listAll,
+    getListAgeMs: () => 0,
+    askPeers: () => Promise.resolve(undefined),
+    logEvent: () => undefined,
+  });
   applyEndpoints(world, options.names);
   const kinds: Readonly<Record<string, CallKind>> = {
     idempotent: CallKind.Idempotent,
@@ -131,6 +142,7 @@
     speeds: createPrefillSpeeds(),
     crashes: world.crashes,
     limits: world.limits,
+    origins: world.origins,
     budget: {
       recordCall: () => undefined,
       consumeRepeat: () => true,
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -77,13 +77,15 @@
   return choosePlacement(work, { ...options, late: true });
 }
 
-/** Chooses the engine that generates from a prompt exported by `exporter`; undefined if there is none. */
+/** Chooses the engine that generates from a prompt exported by `exporter`, of the same software version; undefined if there is none. */
 export function pickGenerator(
   exporter: ListedEndpoint,
   options: PlacementOptions,
 ): ListedEndpoint | undefined {
   return pickCheapest(
-    listGenerating(listUsable(options)).map((engine) => ({
+    listGenerating(listUsable(options)).filter((engine) =>
+      engine.softwareVersion === exporter.softwareVersion
+    ).map((engine) => ({
       engine,
       cost: estimateLoadPenaltyMs(engine, options) +
         estimateBacklogMs(engine, options) +
@@ -109,17 +111,16 @@
     })),
   );
   const exported = pickCheapest(
-    estimatePrefills(work, exporting, options).map((read) => {
+    estimatePrefills(work, exporting, options).flatMap((read) => {
       const generator = pickGenerator(read.engine, options);
+      if (!generator) return [];
       const afterMs = exportOverheadMs +
-        (generator
-          ? estimateLoadPenaltyMs(generator, options) +
-            estimateBacklogMs(generator, options)
-          : 0);
-      return {
+        estimateLoadPenaltyMs(generator, options) +
+        estimateBacklogMs(generator, options);
+      return [{
         read: { ...read, ms: read.ms + afterMs },
         cost: read.cost + afterMs,
-      };
+      }];
     }),
   );
   if (exported && (!direct || exported.cost < direct.cost)) {
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -62,7 +62,7 @@
 }
 
 async function relayEvents(state: StreamState, run: EngineRun): Promise<void> {
-  const { answer, open } = run;
+  const { answer, open, engine } = run;
   // If the stream can resume, the caller must get complete events only.
   const splitter = state.route.resumable ? createEventSplitter() : undefined;
   const end = createStreamEnd();
@@ -79,6 +79,7 @@
       }
       if (!split) continue;
       state.lastId = split.lastId ?? state.lastId;
+      if (splitter) recordOrigin(state, engine);
       startAnswer(state, answer);
       await state.answer.write(split.bytes);
     }
@@ -89,6 +90,16 @@
   }
 }
 
+/** Records where the stream began before its first event reaches the caller; once for each call. */
+function recordOrigin(state: StreamState, engine: ListedEndpoint): void {
+  if (state.originRecorded) return;
+  state.originRecorded = true;
+  const { call, parts, service } = state;
+  state.origin ??= { service, version: engine.softwareVersion ?? "" };
+  const began = call.resumeAfter === undefined ? call.id : call.resumes;
+  if (began !== undefined) parts.origins.recordBegun(began, engine);
+}
+
 function startAnswer(
   state: StreamState,
   { head, framed }: EndpointAnswer,
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -6,9 +6,10 @@
   Outcome,
   RefusalReason,
 } from "../../types/index.ts";
+import type { StreamOrigin } from "../../process/streams/index.ts";
 import type { RouteIndex } from "../../version/routes/index.ts";
 import type { CallState } from "./attempt.ts";
-import { buildTimedOut, GatewayStatus } from "./ends.ts";
+import { buildNotRun, buildTimedOut, GatewayStatus } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import { runGeneration } from "./run_generation.ts";
 import { runPlain } from "./run_plain.ts";
@@ -17,6 +18,8 @@
 const msPerSecond = 1_000;
 /** Part of the caller's wait reserved for sending the answer back, in ms. */
 const answerMarginMs = 10;
+/** Retry-after where the origin of a stream is not known, in ms: reports of its first instance may be on their way. */
+const unknownOriginRetryMs = 700;
 
 /** Runs a call with one version of the configuration and answers the caller unless it has disconnected. */
 export async function runForward(
@@ -48,7 +51,10 @@
   call: ForwardCall,
   { route, version, answer, parts }: RunOptions,
 ): Promise<ForwardEnd> {
-  const service = version.pickService(route, parts.random());
+  const origin = await findOrigin(call, { route, parts });
+  if (origin === "unknown") return buildUnknownOrigin();
+  const service = origin?.service ??
+    version.pickService(route, parts.random());
   parts.budget.recordCall(service);
   const allowedMs = Math.min(
     route.timeoutMs,
@@ -71,6 +77,7 @@
     signal: AbortSignal.any([answer.left, timeout.signal]),
     excluded: new Set(),
     considered: new Set(),
+    origin,
     runs: 0,
     sends: 0,
   };
@@ -86,6 +93,32 @@
   }
 }
 
+/** Finds where the stream began that the call takes up, if it does; "unknown" if it must not go on. */
+async function findOrigin(
+  call: ForwardCall,
+  { route, parts }: Pick<RunOptions, "route" | "parts">,
+): Promise<StreamOrigin | undefined | "unknown"> {
+  if (route.kind !== CallKind.Stream || call.resumeAfter === undefined) {
+    return undefined;
+  }
+  const services = route.targets.map(({ service }) => service);
+  const origin = await parts.origins.resolve({
+    call: call.id,
+    resumes: call.resumes,
+    services,
+  });
+  // What two services write does not fit together either.
+  return origin && services.includes(origin.service) ? origin : "unknown";
+}
+
+function buildUnknownOrigin(): ForwardEnd {
+  return buildNotRun(
+    RefusalReason.VersionUnknown,
+    "the software version that began the stream is not known",
+    { retryAfterMs: unknownOriginRetryMs },
+  );
+}
+
 function buildNoRoute(): ForwardEnd {
   return {
     outcome: Outcome.NotRun,
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -13,6 +13,7 @@
   getAgeMs,
   getLeftMs,
   isUnsent,
+  logAbsentVersion,
   mayRunAgain,
   recordFailure,
   refuseCrashing,
@@ -83,6 +84,7 @@
     if (!mayRunAgain(state)) break;
   }
   if (state.signal.aborted) return buildTimedOut({ runs: state.runs });
+  if (lost) logAbsentVersion(state);
   return lost ?? refuseWithoutEndpoint(state, fullRetryMs);
 }
 
@@ -107,7 +109,10 @@
   }
   if (!state.held) return "again";
   const engine = pickGenerator(state.held.engine, getPlacementOptions(state));
-  return engine && { engine };
+  if (engine) return { engine };
+  // Engines of another version cannot read the prompt, but may compute it.
+  releaseHeld(state);
+  return "again";
 }
 
 /** Counts the generation at once if an engine with a limit is to run it, so that there is room when the prompt is exported. */
@@ -154,6 +159,7 @@
     runs: state.runs,
     endpoint: engine.name,
     softwareVersion: engine.softwareVersion,
+    began: state.origin?.version,
   });
 }
 
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -9,6 +9,7 @@
   getAgeMs,
   getLeftMs,
   listSharedParts,
+  mayContinueAt,
   mayUse,
 } from "./attempt.ts";
 import { forwardEvents } from "./events.ts";
@@ -36,6 +37,8 @@
   /** Whether an export was attempted before, so that the next one uses the retry budget. */
   exportTried: boolean;
   held: HeldExport | undefined;
+  /** Whether it is recorded where the stream began. */
+  originRecorded: boolean;
   /** Whether the last placement could not meet the goal. */
   late: boolean;
 }
@@ -59,6 +62,7 @@
     headMs: undefined,
     exportTried: false,
     held: undefined,
+    originRecorded: false,
     late: false,
   };
 }
@@ -73,13 +77,14 @@
   return state.route.rank + (state.late ? lateRankOffset : 0);
 }
 
-/** Input of the call's placements; engines whose role is changing are left out. */
+/** Input of the call's placements; engines whose role is changing, or whose version did not begin the stream, are left out. */
 export function getPlacementOptions(state: CallState): PlacementOptions {
   const { parts, service } = state;
   return {
     service,
-    engines: parts.endpoints.listAccepting(service)
-      .filter(({ name }) => !parts.isChangingRole(name)),
+    engines: parts.endpoints.listAccepting(service).filter((engine) =>
+      !parts.isChangingRole(engine.name) && mayContinueAt(state, engine)
+    ),
     exclude: state.excluded,
     endpointTracker: parts.endpointTracker,
     speeds: parts.speeds,
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -17,6 +17,7 @@
 } from "../../process/fleet/index.ts";
 import type { CrashWatch } from "../../process/crashes/index.ts";
 import type { EndpointLimits } from "../../process/limits/index.ts";
+import type { StreamOrigins } from "../../process/streams/index.ts";
 import type { SharedBudget } from "../retries/index.ts";
 
 /** An endpoint's answer while its body arrives. */
@@ -99,6 +100,7 @@
   readonly budget: SharedBudget;
   readonly crashes: CrashWatch;
   readonly limits: EndpointLimits;
+  readonly origins: StreamOrigins;
   /** Whether an engine takes no work because its role changes. */
   readonly isChangingRole: (endpoint: EndpointName) => boolean;
   readonly ownDomain: string;
--- a/packages/core/src/types/outcomes.ts
+++ b/packages/core/src/types/outcomes.ts
@@ -27,6 +27,8 @@
   DeadlineTooShort = "deadline_too_short",
   Suspect = "suspect",
   NoEndpoint = "no_endpoint",
+  /** It is not known which of several software versions began the stream to take up. */
+  VersionUnknown = "version_unknown",
   Stopping = "stopping",
   NoBundle = "no_bundle",
   LogUnavailable = "log_unavailable",
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -199,6 +199,7 @@
       onStoreRestored: () => undefined,
       onListRead: () => undefined,
       onDigestDelay: () => undefined,
+      fetchOrigin: () => Promise.resolve(undefined),
       isStopping: () => false,
       logEvent: () => undefined,
       signal: this.stopView.signal,
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -7,12 +7,12 @@
   buildRouteIndex,
   type CrashWatch,
   createCrashWatch,
-  createDigestDelays,
   createEndpointLimits,
   createEndpointList,
   createEndpointTracker,
   createListUpdates,
   createPeerRegistry,
+  createStreamOrigins,
   type EndpointLimits,
   type EndpointList,
   type EndpointTracker,
@@ -26,7 +26,10 @@
   type PeerRegistry,
   type RouteIndex,
   type RoutingConfiguration,
+  type StreamOrigin,
+  type StreamOrigins,
 } from "@trefoildoor/core";
+import { createDelayRecorder } from "./delay_recorder.ts";
 import type { Channels } from "./channels.ts";
 import { estimateNewsDelayMs, type FleetState } from "./peer_link.ts";
 import type { StoreTopics } from "./platform.ts";
@@ -38,6 +41,7 @@
   readonly endpointTracker: EndpointTracker;
   readonly crashes: CrashWatch;
   readonly limits: EndpointLimits;
+  readonly origins: StreamOrigins;
   readonly peers: PeerRegistry;
   /** Route index of the configuration in force; undefined before the first. */
   readonly getVersion: () => RouteIndex | undefined;
@@ -78,6 +82,8 @@
   readonly onDigestDelay: (delayMs: number) => void;
   /** A stopping instance reads the store itself. */
   readonly isStopping: () => boolean;
+  /** Asks peers where a stream began. */
+  readonly fetchOrigin: (key: string) => Promise<StreamOrigin | undefined>;
   readonly logEvent: LogEvent;
   readonly signal: AbortSignal;
 }
@@ -94,8 +100,6 @@
 const maxMissedReads = 2;
 /** Time after the start in which every instance reads the list of instances itself, in ms; instances that start together register within this time. */
 const discoveryMs = 5_000;
-/** Transit delay of digests above which their sender counts as delayed, in ms: far above the round trips and batch delays. */
-const lateDigestMs = 1_000;
 /** Time after the return of the store from an older copy in which its entries may be old, in ms: servers write theirs again in about 2 s. */
 const restoringMs = 10_000;
 /** Age that digests report for a list that was never read, in ms. */
@@ -121,9 +125,8 @@
     logEvent,
   });
   const peers = createPeerRegistry({ instance: settings.instance, logEvent });
-  const digestDelays = createDigestDelays();
+  const recordDelay = createDelayRecorder(options);
   const listUpdates = createListUpdates();
-  const delayedPeers = new Set<string>();
   const crashes = createCrashWatch({
     isAccepting: (endpoint) => endpoints.isAccepting(endpoint),
     onChange: options.onCrashEvidence,
@@ -141,6 +144,13 @@
     logEvent,
   });
 
+  const origins = createStreamOrigins({
+    listEndpoints: endpoints.listAll,
+    getListAgeMs: () => endpointTopic.getAgeMs(),
+    askPeers: options.fetchOrigin,
+    logEvent,
+  });
+
   function applyConfiguration(
     configuration: RoutingConfiguration,
     from: string,
@@ -261,21 +271,6 @@
     return canReplaceStale || (!isReader() && digest.listChanged > next);
   }
 
-  /** Measures a digest's transit delay, returns it, and logs when its sender becomes late or punctual. */
-  function recordDelay(digest: PeerDigest): number {
-    const delayMs = digestDelays.measure(digest);
-    options.onDigestDelay(delayMs);
-    const late = delayMs > lateDigestMs;
-    if (late === delayedPeers.has(digest.name)) return delayMs;
-    if (late) delayedPeers.add(digest.name);
-    else delayedPeers.delete(digest.name);
-    logEvent(late ? fleetEvents.peerDelayed : fleetEvents.peerPunctual, {
-      instance: digest.name,
-      delayMs: Math.round(delayMs),
-    });
-    return delayMs;
-  }
-
   /** Applies the changes that a digest contains, unless changes before them are missing. */
   function applyUpdate(digest: PeerDigest, listAgeMs: number): void {
     const { next } = endpoints.getOffsets();
@@ -345,6 +340,7 @@
     endpointTracker,
     crashes,
     limits,
+    origins,
     peers,
     getVersion: () => version,
     getState: () => ({
@@ -377,6 +373,7 @@
       const delayMs = recordDelay(digest);
       const listAgeMs = digest.listAgeMs + delayMs;
       endpointTracker.applyReports(digest.name, digest);
+      if (digest.origins) origins.applyReports(digest.origins, digest.name);
       limits.applyReports(digest.limits, {
         instance: digest.name,
         start: digest.start,
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -31,6 +31,8 @@
   readonly heardInstances: number;
   /** Prompt parts and requests that are refused because endpoints crash under them. */
   readonly refusedTraits: number;
+  /** Streams that callers may take up and whose software version is known. */
+  readonly knownStreams: number;
   /** Endpoints that limit the requests of all instances together. */
   readonly limitedEndpoints: number;
   readonly droppedLogLines: number;
@@ -151,6 +153,8 @@
     heardInstances: "Live instances, this one included",
     refusedTraits:
       "Prompt parts and requests that are refused, as endpoints crash under them",
+    knownStreams:
+      "Streams that callers may take up, whose software version is known",
     limitedEndpoints:
       "Endpoints that limit the requests of all instances together",
     droppedLogLines: "Log lines dropped since the start",
--- a/packages/node/src/entry/peer_link.steps.ts
+++ b/packages/node/src/entry/peer_link.steps.ts
@@ -106,6 +106,8 @@
     address,
     peers,
     channels: world.linkChannels,
+    collectOrigins: () => undefined,
+    findOrigin: () => undefined,
     collectCrashes: () => undefined,
     buildDigest: () =>
       buildDigest({ name, failureDomain, address }, {
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -14,10 +14,12 @@
   type EndpointSnapshot,
   type LimitReports,
   type ListUpdate,
+  type OriginReports,
   type PeerAddress,
   type PeerDigest,
   type PeerRegistry,
   type RoutingConfiguration,
+  type StreamOrigin,
   waitFor,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
@@ -41,6 +43,8 @@
   /** Sends the own failure domain a digest at once and directly, with changes of the list of endpoints. */
   readonly sendUpdate: (update: ListUpdate | undefined) => void;
   readonly fetchState: (address: string) => Promise<FleetState>;
+  /** Asks some live instances where a stream began; resolves to undefined if none of them knows it in time. */
+  readonly fetchOrigin: (key: string) => Promise<StreamOrigin | undefined>;
   readonly close: () => void;
 }
 
@@ -63,6 +67,10 @@
   readonly buildDigest: () => PeerDigest;
   /** News of crashes for the next digest; each call counts as one that reached the peers. */
   readonly collectCrashes: () => CrashReports | undefined;
+  /** Streams begun, for the next digest; each call counts as one that reached the peers. */
+  readonly collectOrigins: () => OriginReports | undefined;
+  /** Answers a peer's question where a stream began. */
+  readonly findOrigin: (key: string) => StreamOrigin | undefined;
   readonly getState: () => FleetState;
   readonly onDigest: (digest: PeerDigest) => void;
   readonly onFailure: (error: unknown) => void;
@@ -85,6 +93,10 @@
 const stateTimeoutMs = 700;
 const maxStateBytes = 8 * 1_048_576;
 const statePath = "/state";
+const originPath = "/origins/";
+/** Instances that are asked where a stream began, and how long, in ms. */
+const maxAsked = 3;
+const originTimeoutMs = 150;
 const ok = 200;
 const notFound = 404;
 
@@ -106,7 +118,8 @@
   function sendDigest(): void {
     sentMs = performance.now();
     const crashes = options.collectCrashes();
-    const digest = { ...options.buildDigest(), crashes };
+    const origins = options.collectOrigins();
+    const digest = { ...options.buildDigest(), crashes, origins };
     rotation += 1;
     const { direct, relays } = chooseTargets(options.peers.listRegistered(), {
       failureDomain: options.failureDomain,
@@ -196,6 +209,7 @@
       }
     },
     fetchState: (address) => fetchState(address, options),
+    fetchOrigin: (key) => fetchOrigin(key, options),
     close(): void {
       clearTimeout(digestTimer);
       clearTimeout(relayTimer);
@@ -226,16 +240,25 @@
 async function openStateServer(options: PeerLinkOptions): Promise<Server> {
   const server = createServer((request, response) => {
     request.resume();
-    if (request.url !== statePath) {
-      return void response.writeHead(notFound).end();
-    }
+    const content = findContent(request.url ?? "", options);
+    if (!content) return void response.writeHead(notFound).end();
     response.writeHead(ok, { "content-type": "application/json" });
-    response.end(JSON.stringify(options.getState()));
+    response.end(JSON.stringify(content));
   });
   await listen(server, options.address);
   return server;
 }
 
+function findContent(
+  url: string,
+  options: PeerLinkOptions,
+): FleetState | StreamOrigin | undefined {
+  if (url === statePath) return options.getState();
+  return url.startsWith(originPath)
+    ? options.findOrigin(decodeURIComponent(url.slice(originPath.length)))
+    : undefined;
+}
+
 function openDigestSocket(
   options: PeerLinkOptions,
   { onRelay }: { readonly onRelay: (digest: PeerDigest) => void },
@@ -269,13 +292,56 @@
   address: string,
   options: PeerLinkOptions,
 ): Promise<FleetState> {
+  const state = await fetchContent(address, {
+    path: statePath,
+    timeoutMs: stateTimeoutMs,
+    options,
+  });
+  return state as FleetState;
+}
+
+/** Asks one instance of each failure domain first, at most `maxAsked` in all. */
+async function fetchOrigin(
+  key: string,
+  options: PeerLinkOptions,
+): Promise<StreamOrigin | undefined> {
+  const live = options.peers.listLive().filter(({ stopping }) => !stopping);
+  const domains = new Set<string>();
+  const first = live.filter(({ failureDomain }) => {
+    const isFirst = !domains.has(failureDomain);
+    domains.add(failureDomain);
+    return isFirst;
+  });
+  const asked = [...new Set([...first, ...live])].slice(0, maxAsked);
+  const answers = asked.map(async ({ address }) =>
+    await fetchContent(address, {
+      path: `${originPath}${encodeURIComponent(key)}`,
+      timeoutMs: originTimeoutMs,
+      options,
+    }) as StreamOrigin
+  );
+  try {
+    return await Promise.any(answers);
+  } catch {
+    return undefined;
+  }
+}
+
+async function fetchContent(
+  address: string,
+  { path, timeoutMs, options }: {
+    readonly path: string;
+    readonly timeoutMs: number;
+    readonly options: PeerLinkOptions;
+  },
+): Promise<unknown> {
   const answer = await options.channels.exchange(address, {
     method: "GET",
-    path: statePath,
+    path,
     headers: [],
     signal: AbortSignal.any([
       options.signal,
-      AbortSignal.timeout(stateTimeoutMs),
+      AbortSignal.timeout(timeoutMs),
     ]),
   });
   const chunks: Buffer[] = [];
@@ -285,5 +351,6 @@
     bytes += chunk.length;
     if (bytes > maxStateBytes) throw new Error("state of a peer is too large");
   }
-  return JSON.parse(Buffer.concat(chunks).toString()) as FleetState;
+  if (answer.status !== ok) throw new Error(`peer answered ${answer.status}`);
+  return JSON.parse(Buffer.concat(chunks).toString());
 }
--- a/packages/node/src/entry/relay_load.steps.ts
+++ b/packages/node/src/entry/relay_load.steps.ts
@@ -56,6 +56,8 @@
     peers,
     channels: world.loadChannels,
     buildDigest: () => buildBusyDigest(self, { sequence: sequence += 1 }),
+    collectOrigins: () => undefined,
+    findOrigin: () => undefined,
     collectCrashes: createBusyNews(),
     getState: () => ({
       endpoints: { next: 0, changed: 0, endpoints: [], lapsed: [] },
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -131,6 +131,7 @@
       configurationVersion: fleet.getVersion()?.version ?? 0,
       listAgeMs: fleet.getListAgeMs(),
       heardInstances: fleet.peers.countInstances(),
+      knownStreams: fleet.origins.count(),
       limitedEndpoints: fleet.limits.listLimited().length,
       refusedTraits: fleet.crashes.listVerdicts().length,
       droppedLogLines: options.countDroppedLines(),
@@ -160,6 +161,7 @@
     onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
+    fetchOrigin: async (key) => await state.peerLink?.fetchOrigin(key),
     logEvent,
     signal: shutdown.signal,
   });
@@ -236,6 +238,7 @@
     speeds: createPrefillSpeeds(),
     crashes: fleet.crashes,
     limits: fleet.limits,
+    origins: fleet.origins,
     budget: createSharedBudget(
       { ratio, slack, windowMs: windowS * msPerSecond },
       { countInstances: fleet.peers.countInstances },
@@ -308,6 +311,8 @@
     channels: running.channels,
     buildDigest,
     collectCrashes: fleet.crashes.collectReports,
+    collectOrigins: fleet.origins.collectReports,
+    findOrigin: fleet.origins.findByKey,
     getState: fleet.getState,
     onDigest: (digest) => {
       const { peerLink } = state;
--- a/packages/node/src/request/refusals.ts
+++ b/packages/node/src/request/refusals.ts
@@ -18,6 +18,7 @@
   [RefusalReason.DeadlineTooShort]: 429,
   [RefusalReason.Suspect]: 422,
   [RefusalReason.NoEndpoint]: 503,
+  [RefusalReason.VersionUnknown]: 503,
   [RefusalReason.Stopping]: 503,
   [RefusalReason.NoBundle]: 503,
   [RefusalReason.LogUnavailable]: 503,
