Count calls as demand at a limited endpoint only where they choose it

All calls counted as demand there, also the 80 a second that went to the other engine, so a call that needed it had a chance of under one half; and the other engine, suspended for a moment after broken streams, was not tried. An instance now asks for room only at the endpoint that it has chosen, chooses again without it if there is none, and tries a suspended one before it refuses. Two scenarios with suspended endpoints fail before; server_limits.feature and limits.feature pass.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -48,8 +48,10 @@
   readonly signal: AbortSignal;
   /** Names of endpoints that failed or refused the call and are not tried again. */
   readonly excluded: Set<string>;
-  /** Names of endpoints at which the call was counted as demand. */
+  /** Names of endpoints that were chosen for the call at least once, also if their limits left no room. */
   readonly considered: Set<string>;
+  /** Names of endpoints whose limits left no room in the current choice. */
+  readonly heldBack: Set<string>;
   /** Endpoint with a limit at which the next request is already counted. */
   reserved?: string;
   /** Where the stream began; the call runs only there from then on. */
@@ -187,15 +189,17 @@
   });
 }
 
-/** Whether limits of the endpoint leave room for the call. */
-export function mayUse(state: CallState, endpoint: ListedEndpoint): boolean {
-  const { call, parts, considered, reserved } = state;
+/** Whether the limit of an endpoint that was chosen leaves room for the call; if not, the endpoint counts as held back until the next choice. */
+export function takeRoom(state: CallState, endpoint: ListedEndpoint): boolean {
+  const { call, parts, considered, heldBack, reserved } = state;
   if (reserved === endpoint.name) return true;
   if (!considered.has(endpoint.name)) {
     considered.add(endpoint.name);
     parts.limits.recordDemand(endpoint);
   }
-  return parts.limits.mayUse(endpoint, call.id);
+  if (parts.limits.mayUse(endpoint, call.id)) return true;
+  heldBack.add(endpoint.name);
+  return false;
 }
 
 function findAnswerFault(
@@ -243,8 +247,8 @@
       retryAfterMs: allDownRetryMs,
     });
   }
-  const heldBack = fitting.filter(({ name }) =>
-    !state.excluded.has(name) && state.parts.limits.isLimited(name)
+  const heldBack = fitting.filter(({ name, role }) =>
+    state.heldBack.has(name) && role !== EngineRole.Prefill
   );
   if (heldBack.length > 0) {
     return buildNotRun(
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -358,6 +358,22 @@
     Then the caller gets status 503
     And the caller is told when to come back
 
+  Scenario: A suspended endpoint is tried if limits leave no room elsewhere
+    Given a "at_most_once" route over "e1, e2" with 1 endpoints for a call
+    And the limits of "e2" are used up
+    And "e1" is suspended
+    When a call is forwarded
+    Then the caller gets status 200
+    And the call has reached "e1"
+
+  Scenario: A suspended engine is tried if limits leave no room elsewhere
+    Given a "stream" route over "d1, d2" with 1 endpoints for a call
+    And "d1" answers "events 1-3"
+    And the limits of "d2" are used up
+    And "d1" is suspended
+    When a stream with 100 prompt tokens is forwarded
+    Then the call has reached "d1"
+
   Scenario: A generation has room when its prompt is exported
     Given a "stream" route over "p1, d1" with 1 endpoints for a call
     And "d1" names a limit of 1 a second
--- a/packages/core/src/request/forwarding/limited_calls.steps.ts
+++ b/packages/core/src/request/forwarding/limited_calls.steps.ts
@@ -1,6 +1,7 @@
 /** Steps of `forwarding.feature` on the limits of endpoints. */
 import { strict as assert } from "node:assert";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { CallEnd } from "../../process/fleet/index.ts";
 import { LimitStep } from "../../process/limits/index.ts";
 import { buildEndpoint } from "./fake_endpoints.test.ts";
 import {
@@ -39,6 +40,13 @@
   },
 );
 
+Given(
+  "{string} is suspended",
+  function (this: ForwardWorld, name: string): void {
+    this.tracker.openCall(name).close(CallEnd.Down);
+  },
+);
+
 When(
   "streams with {int} prompt tokens are forwarded at once",
   async function (this: ForwardWorld, promptTokens: number): Promise<void> {
--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -48,8 +48,6 @@
   readonly ownDomain: string;
   /** Whether an open connection to the engine is available. */
   readonly isConnected: (engine: ListedEndpoint) => boolean;
-  /** Whether the engine's limit leaves room for the call. */
-  readonly mayUse: (engine: ListedEndpoint) => boolean;
 }
 
 /** Time that an export adds to the prefill, in ms: network, setup and the KV cache transfer. */
@@ -160,7 +158,7 @@
   return engines.filter(({ role }) => role !== EngineRole.Prefill);
 }
 
-/** Engines that the call has not excluded and whose limits leave room; includes suspended ones only if no other engine generates. */
+/** Engines that the call has not excluded; includes suspended ones only if no other engine generates. */
 function listUsable(options: PlacementOptions): readonly ListedEndpoint[] {
   const allowed = options.engines.filter(({ name }) =>
     !options.exclude.has(name)
@@ -168,8 +166,7 @@
   const healthy = allowed.filter(({ name }) =>
     !options.endpointTracker.isSuspended(name)
   );
-  return (listGenerating(healthy).length > 0 ? healthy : allowed)
-    .filter(options.mayUse);
+  return listGenerating(healthy).length > 0 ? healthy : allowed;
 }
 
 function estimateLoadPenaltyMs(
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -77,6 +77,7 @@
     signal: AbortSignal.any([answer.left, timeout.signal]),
     excluded: new Set(),
     considered: new Set(),
+    heldBack: new Set(),
     origin,
     runs: 0,
     sends: 0,
--- a/packages/core/src/request/forwarding/run_generation.ts
+++ b/packages/core/src/request/forwarding/run_generation.ts
@@ -23,11 +23,11 @@
 import { buildEndpointFailed, buildNotRun, buildTimedOut } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import { exportPrompt, recordRefusal, releaseHeld } from "./export_prompt.ts";
-import { pickGenerator, type Placement } from "./place_generation.ts";
+import type { Placement } from "./place_generation.ts";
 import { type EngineRun, relayRun } from "./relay_stream.ts";
 import {
+  chooseGenerator,
   createStreamState,
-  getPlacementOptions,
   getRank,
   getWork,
   placePrompt,
@@ -104,27 +104,16 @@
       return undefined;
     }
     state.exportTried = true;
-    reserveGenerator(state, placement);
     if (!await exportPrompt(state, placement)) return "again";
   }
   if (!state.held) return "again";
-  const engine = pickGenerator(state.held.engine, getPlacementOptions(state));
+  const engine = chooseGenerator(state, state.held.engine);
   if (engine) return { engine };
   // Engines of another version cannot read the prompt, but may compute it.
   releaseHeld(state);
   return "again";
 }
 
-/** Counts the generation at once if an engine with a limit is to run it, so that there is room when the prompt is exported. */
-function reserveGenerator(state: StreamState, { engine }: Placement): void {
-  if (state.reserved !== undefined) return;
-  const { limits } = state.parts;
-  const generator = pickGenerator(engine, getPlacementOptions(state));
-  if (!generator || !limits.isLimited(generator.name)) return;
-  limits.recordSend(generator);
-  state.reserved = generator.name;
-}
-
 /** Refuses a call if its caller is expected to give up before the first event; calls that may have run are not refused. */
 function refuseOverloaded(
   state: StreamState,
--- a/packages/core/src/request/forwarding/stream_state.ts
+++ b/packages/core/src/request/forwarding/stream_state.ts
@@ -10,10 +10,11 @@
   getLeftMs,
   listSharedParts,
   mayContinueAt,
-  mayUse,
+  takeRoom,
 } from "./attempt.ts";
 import { forwardEvents } from "./events.ts";
 import {
+  pickGenerator,
   placeGeneration,
   type Placement,
   type PlacementOptions,
@@ -85,22 +86,18 @@
     engines: parts.endpoints.listAccepting(service).filter((engine) =>
       !parts.isChangingRole(engine.name) && mayContinueAt(state, engine)
     ),
-    exclude: state.excluded,
+    exclude: new Set([...state.excluded, ...state.heldBack]),
     endpointTracker: parts.endpointTracker,
     speeds: parts.speeds,
     ownDomain: parts.ownDomain,
     isConnected: (engine) => parts.sender.isConnected(engine),
-    mayUse: (engine) => mayUse(state, engine),
   };
 }
 
 /** Chooses the engine of the prefill, logs the choice and updates `state.late`; undefined if no engine generates. */
 export function placePrompt(state: StreamState): Placement | undefined {
   const work = getWork(state);
-  const placement = placeGeneration(work, {
-    ...getPlacementOptions(state),
-    goalLeftMs: state.route.goalMs - getAgeMs(state),
-  });
+  const placement = placeWithinLimits(state);
   state.late = placement?.late ?? state.late;
   state.parts.logEvent(forwardEvents.placed, {
     call: state.call.id,
@@ -117,3 +114,40 @@
   });
   return placement;
 }
+
+/** Places the prompt where the limits of the chosen engines leave room; counts the generation after an export at once. */
+function placeWithinLimits(state: StreamState): Placement | undefined {
+  const { limits } = state.parts;
+  state.heldBack.clear();
+  while (true) {
+    const placement = placeGeneration(getWork(state), {
+      ...getPlacementOptions(state),
+      goalLeftMs: state.route.goalMs - getAgeMs(state),
+    });
+    if (!placement) return undefined;
+    if (!takeRoom(state, placement.engine)) continue;
+    if (!placement.exports) return placement;
+    const generator = pickGenerator(
+      placement.engine,
+      getPlacementOptions(state),
+    );
+    if (!generator || !takeRoom(state, generator)) continue;
+    if (limits.isLimited(generator.name) && state.reserved === undefined) {
+      limits.recordSend(generator);
+      state.reserved = generator.name;
+    }
+    return placement;
+  }
+}
+
+/** Chooses the engine that generates from an exported prompt, within its limit; undefined if there is none. */
+export function chooseGenerator(
+  state: StreamState,
+  exporter: ListedEndpoint,
+): ListedEndpoint | undefined {
+  state.heldBack.clear();
+  while (true) {
+    const generator = pickGenerator(exporter, getPlacementOptions(state));
+    if (!generator || takeRoom(state, generator)) return generator;
+  }
+}
