Keep to the limits of endpoints over all daemons

Engines name it in load reports (requestsPerSecond), services in the header trefoildoor-limit of their answers; daemons share it with the digests that they exchange. First sends, retries, exports, resumes at the same engine and calls to services lead through the check; a keyed call that fits nowhere is refused before its intent is written. Instances beyond the peers of an exchange count with their part by number.

The probes after lost attempts move to attempt_ends.ts.

--- a/packages/core/src/connection/endpoint/engine_schemas.ts
+++ b/packages/core/src/connection/endpoint/engine_schemas.ts
@@ -22,6 +22,7 @@
   prefillTokensPerSecond: z.number().min(0),
   decodeTokensPerSecond: z.number().min(0),
   cachedPrefixes: z.array(z.string()),
+  requestsPerSecond: z.number().min(0).optional(),
 });
 
 /** Schema of an engine's state. */
--- a/packages/core/src/connection/endpoint/observations.ts
+++ b/packages/core/src/connection/endpoint/observations.ts
@@ -6,6 +6,11 @@
 export interface EndpointListeners {
   /** A load report arrived, on its own or inside a stream of tokens. */
   readonly onLoad?: (endpoint: EndpointName, report: LoadReport) => void;
+  /** A service answered; `perSecond` is the limit that it names for all instances together, if it does. */
+  readonly onLimit?: (
+    endpoint: EndpointName,
+    perSecond: number | undefined,
+  ) => void;
   /** The endpoint refused work because it is leaving. */
   readonly onLeaving?: (endpoint: EndpointName) => void;
   /** An answer or part of one arrived, so the endpoint and the connection work. */
--- a/packages/core/src/connection/endpoint/service_client.ts
+++ b/packages/core/src/connection/endpoint/service_client.ts
@@ -14,6 +14,8 @@
 } from "../../types/endpoints.ts";
 import type { EngineAdapterOptions } from "./engine_client.ts";
 
+/** Header in which a service names the requests a second that it takes from all instances together. */
+const limitHeader = "trefoildoor-limit";
 const pingTimeoutMs = 1_000;
 const lookUpTimeoutMs = 2_000;
 const pingSchema = z.object({ leaving: z.boolean().default(false) });
@@ -38,6 +40,7 @@
     });
     const body = await readBody(answer, call);
     listeners.onAlive?.(endpoint);
+    listeners.onLimit?.(endpoint, decodeLimit(answer.headers[limitHeader]));
     return { status: answer.status, headers: answer.headers, body };
   };
   return {
@@ -95,3 +98,11 @@
     throw convertError(error, { sent: true, call });
   }
 }
+
+function decodeLimit(text: string | undefined): number | undefined {
+  const perSecond = Number(text);
+  return text !== undefined && text !== "" && Number.isFinite(perSecond) &&
+      perSecond >= 0
+    ? perSecond
+    : undefined;
+}
--- a/packages/core/src/process/limits/endpoint_limits.ts
+++ b/packages/core/src/process/limits/endpoint_limits.ts
@@ -32,23 +32,26 @@
   Export = "export",
 }
 
+/** An endpoint's process, as far as limits tell processes apart. */
+export type LimitedEndpoint = Pick<ListedEndpoint, "name" | "startedAtMs">;
+
 /** Limits that one instance knows of. */
 export interface EndpointLimits {
   /** Counts a call that could be sent to the endpoint, if that has a limit. */
-  readonly recordDemand: (endpoint: ListedEndpoint) => void;
+  readonly recordDemand: (endpoint: LimitedEndpoint) => void;
   /** Whether a call may be sent to the endpoint now; calls get their chances independently. */
-  readonly mayUse: (endpoint: ListedEndpoint, callId: string) => boolean;
+  readonly mayUse: (endpoint: LimitedEndpoint, callId: string) => boolean;
   /** Whether the endpoint has a limit. */
   readonly isLimited: (endpoint: EndpointName) => boolean;
   /** Counts a request to an endpoint. */
-  readonly recordSend: (endpoint: ListedEndpoint) => void;
+  readonly recordSend: (endpoint: LimitedEndpoint) => void;
   readonly recordAnswer: (
-    endpoint: ListedEndpoint,
+    endpoint: LimitedEndpoint,
     answer: LimitAnswer,
   ) => void;
   /** Logs that a call found no endpoint with room, and returns when its caller may expect some, in ms. */
   readonly refuse: (
-    endpoints: readonly ListedEndpoint[],
+    endpoints: readonly LimitedEndpoint[],
     callId: string,
   ) => number;
   /** Reports for the next digest; undefined if there are none. */
@@ -61,7 +64,7 @@
   /** Applies what a peer knows, `delayMs` after it was told, without its own counters. */
   readonly applyKnown: (reports: LimitReports, delayMs: number) => void;
   /** Drops the limit of an endpoint whose process has ended. */
-  readonly forget: (endpoint: ListedEndpoint) => void;
+  readonly forget: (endpoint: LimitedEndpoint) => void;
   /** Endpoints with a limit. */
   readonly listLimited: () => readonly EndpointName[];
 }
@@ -70,6 +73,8 @@
 export interface EndpointLimitsOptions {
   /** Time until a request of one instance shows in the reports that the others have, in ms. */
   readonly getNewsDelayMs: () => number;
+  /** Number of instances, this one included, where some do not report to this one; all report if absent. */
+  readonly countInstances?: () => number;
   readonly logEvent?: LogEvent;
 }
 
--- a/packages/core/src/process/limits/index.ts
+++ b/packages/core/src/process/limits/index.ts
@@ -4,6 +4,7 @@
   type EndpointLimits,
   type EndpointLimitsOptions,
   type LimitAnswer,
+  type LimitedEndpoint,
   LimitStep,
 } from "./endpoint_limits.ts";
 export { limitEvents } from "./events.ts";
--- a/packages/core/src/process/limits/shared_bucket.ts
+++ b/packages/core/src/process/limits/shared_bucket.ts
@@ -83,6 +83,8 @@
   options: {
     /** Time until a request of one instance shows in the reports that the others have, in ms. */
     readonly getNewsDelayMs: () => number;
+    /** Number of instances, this one included, where some do not report to this one; all report if absent. */
+    readonly countInstances?: () => number;
   },
 ): SharedBucket {
   const peers = new Map<string, PeerRates>();
@@ -113,6 +115,9 @@
       }
     }
     const heard = peers.size - silent + 1;
+    // Instances that do not report here use up their parts by number.
+    const all = Math.max(options.countInstances?.() ?? 0, heard);
+    if (all > peers.size + 1) return rate * heard / all;
     // Cut off from most others, this instance keeps to its part.
     if (heard < silent) return rate * heard / (heard + silent);
     return Math.max(rate - silentRate, rate / (heard + silent));
--- a/packages/core/src/request/calls/call_types.ts
+++ b/packages/core/src/request/calls/call_types.ts
@@ -1,12 +1,13 @@
 /** Types of calls to plain services. */
-import type {
-  BundleService,
-  CallerName,
+import {
+  type BundleService,
+  type CallerName,
   Outcome,
-  Refusal,
-  ServiceAnswer,
-  ServiceClient,
-  ServiceRequest,
+  type Refusal,
+  RefusalReason,
+  type ServiceAnswer,
+  type ServiceClient,
+  type ServiceRequest,
 } from "../../types/index.ts";
 import type { CallTracker } from "../../process/calls/index.ts";
 import type { LogEvent } from "../../shared/index.ts";
@@ -32,6 +33,8 @@
     service: BundleService,
   ) => readonly ServiceEndpoint[];
   readonly openClient: (endpoint: ServiceEndpoint) => ServiceClient;
+  /** Time after which to retry, in ms, if only the limits of the service's endpoints leave no room; undefined otherwise. */
+  readonly refuseLimited?: (service: BundleService) => number | undefined;
   /** Whether the retry budget allows one more attempt; defaults to always. */
   readonly allowRetry?: () => boolean;
   readonly logEvent?: LogEvent;
@@ -51,6 +54,20 @@
 /** Retry delay sent to callers when no endpoint ran the call or one failed, in ms. */
 export const endpointRetryAfterMs = 1_000;
 
+/** Refuses a call that fits no endpoint's limit, before anything is written or sent; undefined if it may fit. */
+export function refuseLimited(
+  { service }: ServiceCall,
+  context: CallContext,
+): Refusal | undefined {
+  const retryAfterMs = context.refuseLimited?.(service);
+  if (retryAfterMs === undefined) return undefined;
+  return buildRefusal(RefusalReason.Limited, {
+    outcome: Outcome.NotRun,
+    message: `the endpoints of "${service.name}" limit their requests`,
+    retryAfterMs,
+  });
+}
+
 /** Builds a refusal from its reason and its other fields. */
 export function buildRefusal(
   reason: Refusal["reason"],
--- a/packages/core/src/request/calls/keyed_call.ts
+++ b/packages/core/src/request/calls/keyed_call.ts
@@ -22,7 +22,12 @@
   RemoteError,
   type ServiceAnswer,
 } from "../../types/index.ts";
-import type { CallAnswer, CallContext, ServiceCall } from "./call_types.ts";
+import {
+  type CallAnswer,
+  type CallContext,
+  refuseLimited,
+  type ServiceCall,
+} from "./call_types.ts";
 import { findLiveEndpoint, sendOnce } from "./dispatch.ts";
 import { fetchAnswerByKey } from "./look_up.ts";
 import {
@@ -86,6 +91,8 @@
   if (isKeyExpired(callTracker.stream.getState(), call.id.key)) {
     return Left(refuseExpired());
   }
+  const limited = refuseLimited(call, context);
+  if (limited) return Left(limited);
   const arrivedMs = performance.now();
   const intent = await appendIntent(call, context);
   if (intent === undefined) {
--- a/packages/core/src/request/completion/attempt.ts
+++ b/packages/core/src/request/completion/attempt.ts
@@ -53,7 +53,9 @@
         { attemptId, fromIndex: start.delivered.length },
         signal,
       );
-    yield* streamWithResumes(start, { open, resume, work });
+    const allowResume = (): boolean =>
+      dependencies.allowResume(start.route.engine, start.call);
+    yield* streamWithResumes(start, { open, resume, allowResume, work });
     finished = true;
   } finally {
     work.close();
@@ -66,6 +68,8 @@
   readonly open: (signal: AbortSignal) => AsyncIterable<GenerateEvent>;
   /** Resumes after the last delivered token. */
   readonly resume: (signal: AbortSignal) => AsyncIterable<GenerateEvent>;
+  /** Whether the engine has room for a resume; counts it. */
+  readonly allowResume: () => boolean;
   readonly work: AttemptWork;
 }
 
@@ -96,6 +100,7 @@
       firstError ??= error;
       failures += 1;
       if (!canResume(error, start) || failures > maxResumes) throw firstError;
+      if (!streams.allowResume()) throw firstError;
     }
     open = streams.resume;
     await waitFor(failures * resumePauseMs, start.signal);
--- a/packages/core/src/request/completion/dependencies.ts
+++ b/packages/core/src/request/completion/dependencies.ts
@@ -9,6 +9,7 @@
   type Refusal,
   RefusalReason,
 } from "../../types/index.ts";
+import type { EndpointLimits } from "../../process/limits/index.ts";
 import type { Admission } from "../admission/index.ts";
 import { RepeatKind, type RetryBudget } from "../retries/index.ts";
 import {
@@ -18,22 +19,17 @@
   type RouteRequest,
 } from "../routing/index.ts";
 import { type Suspects, SuspectVerdict } from "../suspects/index.ts";
+import { handleAttemptEnd } from "./attempt_ends.ts";
 import type { InFlightRequests } from "./in_flight.ts";
 import type { PromptCrashes } from "./prompt_crashes.ts";
 import {
   type AdmittedRequest,
-  AttemptEnd,
   type AttemptWork,
   type CompletionCall,
   type CompletionDependencies,
   type CompletionRoute,
 } from "./types.ts";
 
-/** Timeout of one state request to a possibly crashed engine, in ms. */
-const probeTimeoutMs = 500;
-const probeIntervalMs = 100;
-/** Time within which an engine must answer a probe or counts as crashed, in ms. */
-const probeWindowMs = 1_500;
 /** Constant part of the stall timeout before the first token, in ms. */
 const firstTokenSlackMs = 5_000;
 /** Constant part of the stall timeout between tokens, in ms. */
@@ -55,6 +51,7 @@
   readonly suspects: Suspects;
   readonly promptCrashes: PromptCrashes;
   readonly inFlight: InFlightRequests;
+  readonly limits: EndpointLimits;
   readonly ownDomain: FailureDomain;
   readonly random: () => number;
   /** Time in which crash evidence reaches the other instances, in ms. */
@@ -77,6 +74,13 @@
     admit: (call, signal) => admitCall(call, context, { signal }),
     chooseRoute: (call, excluded, { signal }) =>
       chooseEngine(call, context, { version, excluded, signal }),
+    allowResume(engine, call): boolean {
+      if (!context.limits.mayUse({ name: engine }, call.requestId)) {
+        return false;
+      }
+      context.limits.recordSend({ name: engine });
+      return true;
+    },
     getEngine: version.getEngine,
     isLeaving: (engine) => context.table.getView(engine)?.leaving ?? false,
     openWork: (call, route) => openAttemptWork(call, route, { context }),
@@ -124,19 +128,31 @@
   },
 ): Promise<Either<Refusal, CompletionRoute>> {
   const { version, excluded, signal } = options;
+  const mayUse = createLimitCheck(call, context);
   const verdict = context.suspects.getVerdict(call.digest);
   if (isRefused(call, context)) return Left(refuseSuspect());
   const request = buildRouteRequest(call, context);
   const choose = (
     exclude: ReadonlySet<EndpointName>,
-  ): Either<Refusal, Route> =>
-    chooseRoute(request, context.table, {
-      random: context.random,
-      engines: version.listEngines(call),
-      exclude,
-      ownDomain: context.ownDomain,
-      getDelayMs: version.getDelayMs,
-    });
+  ): Either<Refusal, Route> => {
+    const heldBack = new Set<EndpointName>();
+    while (true) {
+      const route = chooseRoute(request, context.table, {
+        random: context.random,
+        engines: version.listEngines(call),
+        exclude: new Set([...exclude, ...heldBack]),
+        ownDomain: context.ownDomain,
+        getDelayMs: version.getDelayMs,
+      });
+      const full = listEngines(route).find((engine) => !mayUse(engine));
+      if (full === undefined) {
+        return heldBack.size === 0
+          ? route
+          : route.mapLeft(() => refuseHeldBack(call, context, { heldBack }));
+      }
+      heldBack.add(full);
+    }
+  };
   if (verdict === SuspectVerdict.Isolated) {
     const isUsable = (engine: EndpointName): boolean =>
       version.listEngines(call).has(engine) &&
@@ -153,15 +169,51 @@
   return route.map((chosen) => reserveRoute(chosen, call, { context }));
 }
 
+/** Creates a check whether engines' limits leave room for the call, which counts as demand there. */
+function createLimitCheck(
+  { requestId }: CompletionCall,
+  { limits }: CompletionContext,
+): (engine: EndpointName) => boolean {
+  const considered = new Set<EndpointName>();
+  return (name) => {
+    if (!considered.has(name)) {
+      considered.add(name);
+      limits.recordDemand({ name });
+    }
+    return limits.mayUse({ name }, requestId);
+  };
+}
+
+/** Engines to which a route sends requests. */
+function listEngines(route: Either<Refusal, Route>): readonly EndpointName[] {
+  return route.map(({ engine, prefillEngine }) =>
+    prefillEngine === undefined ? [engine] : [engine, prefillEngine]
+  ).orDefault([]);
+}
+
+/** Refuses a call for which the limits of engines leave no room. */
+function refuseHeldBack(
+  call: CompletionCall,
+  { limits }: CompletionContext,
+  { heldBack }: { readonly heldBack: ReadonlySet<EndpointName> },
+): Refusal {
+  const endpoints = [...heldBack].map((name) => ({ name }));
+  return {
+    reason: RefusalReason.Limited,
+    outcome: Outcome.NotRun,
+    message: "The engines limit their requests",
+    retryAfterMs: limits.refuse(endpoints, call.requestId),
+  };
+}
+
 /** Adds the request to its engines' in-flight counts right after the choice; drains rely on there being no gap. */
 function reserveRoute(
   route: Route,
   call: CompletionCall,
   { context }: { readonly context: CompletionContext },
 ): CompletionRoute {
-  const engines = route.prefillEngine === undefined
-    ? [route.engine]
-    : [route.engine, route.prefillEngine];
+  const engines = listEngines(Right(route));
+  for (const name of engines) context.limits.recordSend({ name });
   const removals = engines.map((engine) => context.inFlight.add(engine, call));
   return { ...route, release: () => removals.forEach((remove) => remove()) };
 }
@@ -288,91 +340,6 @@
   };
 }
 
-async function handleAttemptEnd(
-  call: CompletionCall,
-  attempt: Parameters<CompletionDependencies["handleAttemptEnd"]>[1],
-  options: {
-    readonly context: CompletionContext;
-    readonly version: VersionRouting;
-  },
-): Promise<void> {
-  const { suspects, promptCrashes, inFlight } = options.context;
-  if (attempt.end === AttemptEnd.Finished) {
-    suspects.recordSuccess(call.digest);
-    promptCrashes.recordSuccess(call);
-  }
-  if (attempt.end === AttemptEnd.Lost) {
-    inFlight.recordLoss(attempt.engine, call);
-    await detectCrash(attempt.engine, {
-      ...options,
-      signal: attempt.signal,
-    });
-  }
-  suspects.closeTrial(call.digest);
-}
-
-/**
- * Checks, before any retry, whether the engine of a lost request crashed, and
- * records the crash. If only the connection failed, the start ID is unchanged.
- */
-async function detectCrash(
-  engine: EndpointName,
-  options: {
-    readonly context: CompletionContext;
-    readonly version: VersionRouting;
-    readonly signal: AbortSignal;
-  },
-): Promise<void> {
-  const { table } = options.context;
-  const view = table.getView(engine);
-  const knownId = view?.report?.startId;
-  if (knownId === undefined) return;
-  const startId = view?.unresponsive
-    ? undefined
-    : await fetchStartId(engine, options);
-  if (startId === knownId) return;
-  // After an aborted probe, the endpoint's own task detects the crash.
-  if (startId === undefined && options.signal.aborted) return;
-  // An engine that does not answer counts as crashed until it answers again.
-  if (startId === undefined) table.setFlags(engine, { unresponsive: true });
-  recordEngineCrash(engine, options.context, { startId: knownId });
-}
-
-/** Records the crash of one start of an engine against all requests that were in flight there. */
-export function recordEngineCrash(
-  engine: EndpointName,
-  context: Pick<CompletionContext, "suspects" | "promptCrashes" | "inFlight">,
-  options: { readonly startId: string },
-): void {
-  const requests = context.inFlight.listSuspects(engine);
-  const digests = requests.map(({ digest }) => digest);
-  context.suspects.recordCrash(engine, digests, options);
-  context.promptCrashes.recordCrash(engine, requests, options);
-}
-
-/** Polls an engine for its start ID; undefined when it does not answer within `probeWindowMs` or the signal aborts. */
-async function fetchStartId(
-  engine: EndpointName,
-  { version, signal }: {
-    readonly version: VersionRouting;
-    readonly signal: AbortSignal;
-  },
-): Promise<string | undefined> {
-  const endMs = performance.now() + probeWindowMs;
-  while (performance.now() < endMs && !signal.aborted) {
-    const probe = new AbortController();
-    const timer = setTimeout(() => probe.abort(), probeTimeoutMs);
-    const state = await version.getEngine(engine).fetchState(
-      AbortSignal.any([probe.signal, signal]),
-    )
-      .catch(() => undefined);
-    clearTimeout(timer);
-    if (state) return state.startId;
-    await waitFor(probeIntervalMs, signal);
-  }
-  return undefined;
-}
-
 function refuseSuspect(): Refusal {
   return {
     reason: RefusalReason.Suspect,
--- a/packages/core/src/request/completion/index.ts
+++ b/packages/core/src/request/completion/index.ts
@@ -1,9 +1,9 @@
 /** Completions: admission, engine choice, retries and streaming. */
+export { recordEngineCrash } from "./attempt_ends.ts";
 export { createInFlightRequests, type InFlightRequests } from "./in_flight.ts";
 export {
   type CompletionContext,
   createCompletionDependencies,
-  recordEngineCrash,
   type VersionRouting,
 } from "./dependencies.ts";
 export {
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -94,6 +94,8 @@
     excluded: ReadonlySet<EndpointName>,
     options: { readonly signal: AbortSignal },
   ) => Promise<Either<Refusal, CompletionRoute>>;
+  /** Whether the engine's limit leaves room to ask it for the rest of a broken stream; counts the request. */
+  readonly allowResume: (engine: EndpointName, call: CompletionCall) => boolean;
   readonly getEngine: (engine: EndpointName) => EngineClient;
   /** Whether an engine has announced that it is leaving. */
   readonly isLeaving: (engine: EndpointName) => boolean;
--- a/packages/core/src/types/endpoints.ts
+++ b/packages/core/src/types/endpoints.ts
@@ -46,6 +46,8 @@
   readonly decodeTokensPerSecond: number;
   /** Digests of cached prompt prefixes, one per full KV block, most recent first. */
   readonly cachedPrefixes: readonly string[];
+  /** Requests a second that the engine takes from all instances together; absent without a limit. */
+  readonly requestsPerSecond?: number;
 }
 
 /** Request for one completion. */
--- a/packages/node/src/connection/peers/messages.ts
+++ b/packages/node/src/connection/peers/messages.ts
@@ -7,6 +7,7 @@
 const maxListEntries = 4_096;
 const maxReportedCrashes = 64;
 const maxTraitsPerCrash = 256;
+const maxReportedLimits = 64;
 
 /** Evidence against requests that may crash engines. */
 const evidenceSchema = z.strictObject({
@@ -41,6 +42,19 @@
   })).max(maxListEntries).readonly(),
 });
 
+/** Limits of endpoints, and the instance's own requests there. */
+const limitsSchema = z.record(
+  z.string().max(maxNameLength),
+  z.strictObject({
+    startedAtMs: z.number().min(0),
+    perSecond: z.number().min(0).nullable(),
+    ageMs: z.number().min(0),
+    byExport: z.boolean(),
+    demand: z.number().min(0),
+    sends: z.number().min(0),
+  }),
+).refine((limits) => Object.keys(limits).length <= maxReportedLimits);
+
 /** Work that one instance accepted during its newest intervals. */
 const demandSchema = z.strictObject({
   instance: z.string().max(maxNameLength),
@@ -66,6 +80,8 @@
   evidence: evidenceSchema,
   /** Absent in digests of former versions. */
   promptCrashes: promptCrashesSchema.optional(),
+  /** Absent if no endpoint has a limit, and in digests of former versions. */
+  limits: limitsSchema.optional(),
   /** Endpoints that announced to the instance that they are leaving. */
   leaving: z.array(z.string().max(maxNameLength)).max(maxListEntries),
 });
--- a/packages/node/src/process/exchange.ts
+++ b/packages/node/src/process/exchange.ts
@@ -32,6 +32,7 @@
     evidence: instance.suspects.getEvidence(),
     leaving: [...instance.members.listReportedLeaving()],
     promptCrashes: instance.promptCrashes.getEvidence(),
+    limits: instance.limits.collectReports(),
   };
 }
 
@@ -42,6 +43,12 @@
   if (digest.promptCrashes) {
     instance.promptCrashes.mergeEvidence(digest.promptCrashes);
   }
+  instance.limits.applyReports(digest.limits, {
+    instance: digest.instance,
+    start: digest.instance,
+    stopping: digest.stopping,
+    delayMs: 0,
+  });
   for (const endpoint of digest.leaving) {
     instance.members.recordPeerReport(endpoint);
   }
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -9,16 +9,21 @@
   createAdmission,
   createBurnCounters,
   createCallTracker,
+  createEndpointLimits,
   createEndpointTable,
   createInFlightRequests,
   createMembership,
   createPromptCrashes,
   createRetryBudget,
   createSuspects,
+  type EndpointLimits,
+  type EndpointName,
   type EndpointTable,
   type InFlightRequests,
   type InstanceName,
   isEngineDrained,
+  LimitStep,
+  type LoadReport,
   logEvent,
   type Membership,
   type OpenEndpointClients,
@@ -65,6 +70,7 @@
   readonly suspects: Suspects;
   readonly promptCrashes: PromptCrashes;
   readonly inFlight: InFlightRequests;
+  readonly limits: EndpointLimits;
   readonly demand: DemandTracker;
   readonly callTracker: CallTracker;
   readonly burn: BurnCounters;
@@ -107,8 +113,20 @@
   });
   const getVersion = createVersionCache(streams);
   const table = createEndpointTable({ countInstances: members.countInstances });
+  const limits = createEndpointLimits({
+    getNewsDelayMs: () =>
+      settings.peers.exchange_interval_ms + maxExchangeTimeMs,
+    countInstances: members.countInstances,
+    logEvent,
+  });
   const clients = openEndpointClients({
-    onLoad: (engine, report) => table.observeReport(engine, report),
+    onLoad: (engine, report) => observeLoad(engine, report, { table, limits }),
+    onLimit: (name, perSecond) =>
+      limits.recordAnswer({ name }, {
+        perSecond,
+        step: LimitStep.Call,
+        succeeded: true,
+      }),
     onLeaving: (endpoint) => members.recordLeaving(endpoint),
   });
   const suspects = createSuspects({ instance: name });
@@ -131,6 +149,7 @@
       suspects,
       promptCrashes,
       inFlight,
+      limits,
       admission: createAdmission({
         getCapacity: (own) =>
           computeCapacity(table, { instances: members.countInstances(), own }),
@@ -162,6 +181,7 @@
     suspects,
     promptCrashes,
     inFlight,
+    limits,
     demand,
     callTracker,
     burn,
@@ -186,6 +206,25 @@
   };
 }
 
+/** Applies an engine's load report, with the limit that it names; a new process of the engine has none. */
+export function observeLoad(
+  name: EndpointName,
+  report: LoadReport,
+  { table, limits }: {
+    readonly table: EndpointTable;
+    readonly limits: EndpointLimits;
+  },
+): void {
+  const known = table.getView(name)?.report?.startId;
+  if (!table.observeReport(name, report)) return;
+  if (known !== undefined && known !== report.startId) limits.forget({ name });
+  limits.recordAnswer({ name }, {
+    perSecond: report.requestsPerSecond,
+    step: LimitStep.Call,
+    succeeded: true,
+  });
+}
+
 /** Builds the view of a bundle only once, on the first read after it comes into force. */
 function createVersionCache(streams: Streams): () => VersionView | undefined {
   let position = -1;
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -1,4 +1,5 @@
 /** Serves completions and calls under the version that each request pins. */
+import { randomUUID } from "node:crypto";
 import {
   type BundleCaller,
   type BurnCallEnd,
@@ -20,7 +21,9 @@
   type Refusal,
   RefusalReason,
   runCall,
+  type ServiceAnswer,
   type ServiceCall,
+  type ServiceClient,
   type ServiceEndpoint,
   streamCompletion,
 } from "@trefoildoor/core";
@@ -171,17 +174,41 @@
   });
 }
 
-/** Creates the context of calls to services under one version. */
+/** Creates the context of one call to a service under one version. */
 export function createCallContext(
   version: VersionView,
   dependencies: ServingDependencies,
 ): CallContext {
+  const { limits } = dependencies.completion;
+  const callId = randomUUID();
+  const considered = new Set<EndpointName>();
+  const mayUse = ({ name }: ServiceEndpoint): boolean => {
+    if (!considered.has(name)) {
+      considered.add(name);
+      limits.recordDemand({ name });
+    }
+    return limits.mayUse({ name }, callId);
+  };
+  const rank = (service: ServiceCall["service"]): readonly ServiceEndpoint[] =>
+    rankEndpoints(service.endpoints, version, { dependencies });
   return {
     callTracker: dependencies.callTracker,
-    rankEndpoints: (service) =>
-      rankEndpoints(service.endpoints, version, { dependencies }),
-    openClient: ({ name, address }) =>
-      dependencies.clients.openService(name, address),
+    rankEndpoints: (service) => rank(service).filter(mayUse),
+    openClient({ name, address }): ServiceClient {
+      const client = dependencies.clients.openService(name, address);
+      return {
+        ...client,
+        call(request, signal): Promise<ServiceAnswer> {
+          limits.recordSend({ name });
+          return client.call(request, signal);
+        },
+      };
+    },
+    refuseLimited(service): number | undefined {
+      const endpoints = rank(service);
+      if (endpoints.length === 0 || endpoints.some(mayUse)) return undefined;
+      return limits.refuse(endpoints, callId);
+    },
     logEvent,
   };
 }
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -21,7 +21,7 @@
 import { exchangeWithPeers } from "../connection/peers/index.ts";
 import { daemonEvents } from "../events.ts";
 import { createPeersDependencies } from "./exchange.ts";
-import type { Instance } from "./instance.ts";
+import { type Instance, observeLoad } from "./instance.ts";
 import type { VersionView } from "../version/view.ts";
 import type { InstanceGauges } from "./metrics.ts";
 import { runPools } from "./pools.ts";
@@ -101,9 +101,7 @@
   return {
     logEvent,
     openProbe: (watched) => clients.openProbe(watched, watched.kind),
-    onReport: (engine, report) => {
-      table.observeReport(engine, report);
-    },
+    onReport: (engine, report) => observeLoad(engine, report, instance),
     onLeaving: (endpoint, leaving) => members.recordLeaving(endpoint, leaving),
     onUnresponsive: (endpoint, unresponsive) => {
       if (table.getView(endpoint)) table.setFlags(endpoint, { unresponsive });
@@ -114,6 +112,7 @@
       recordEngineCrash(engine, instance, { startId }),
     onRemoved: (endpoint) => {
       table.removeEngine(endpoint);
+      instance.limits.forget({ name: endpoint });
       silentServices.delete(endpoint);
       void clients.closeEndpoint(endpoint);
     },
--- a/packages/standins/src/model_engine/engine_standin.ts
+++ b/packages/standins/src/model_engine/engine_standin.ts
@@ -56,6 +56,10 @@
   readonly resume: () => void;
   /** Refuses new work as leaving while true. */
   readonly setLeaving: (leaving: boolean) => void;
+  /** Reports a limit of requests a second from now on; none if undefined. */
+  readonly setLimit: (perSecond: number | undefined) => void;
+  /** When each completion, export and resume arrived, in ms of `performance.now()`. */
+  readonly arrivals: readonly number[];
   readonly setReportLag: (lagMs: number) => void;
   /** Calls the listener with each order before it is answered; returns its removal. */
   readonly onOrder: (listener: (order: RecordedOrder) => void) => () => void;
@@ -75,6 +79,8 @@
   const random = createRandom(settings.seed);
   let startId = randomUUID();
   let leaving = false;
+  let requestsPerSecond: number | undefined;
+  const arrivals: number[] = [];
   let crashed: Promise<void> | undefined;
   let restartTimer: NodeJS.Timeout | undefined;
 
@@ -100,6 +106,7 @@
     prefillTokensPerSecond: settings.prefillTokensPerSecond,
     decodeTokensPerSecond: computeDecodeSpeed(settings),
     cachedPrefixes: batch.cache.listReported(),
+    requestsPerSecond,
   });
   const reporter = startLoadReporter(measureLoad, settings.reportLagMs);
 
@@ -165,6 +172,7 @@
     streams.add(tokens);
   };
   const handleCompletion = async (call: StandinCall): Promise<undefined> => {
+    arrivals.push(performance.now());
     await gate.wait();
     const start = admit(call, WorkKind.Generate);
     const { kvHandle, prompt } = start.request;
@@ -183,6 +191,7 @@
     return stream(sequence, call, { fromIndex: sequence.firstIndex });
   };
   const handleResume = async (call: StandinCall): Promise<undefined> => {
+    arrivals.push(performance.now());
     await gate.wait();
     const sequence = batch.find(call.params.attempt ?? "");
     const fromIndex = Number(call.params.from_index ?? 0);
@@ -212,6 +221,7 @@
     return { status: 202, body: getState() };
   };
   const handleExport = async (call: StandinCall): Promise<StandinAnswer> => {
+    arrivals.push(performance.now());
     await gate.wait();
     const start = admit(call, WorkKind.Export);
     const sequence = batch.add({ ...start, prefillOnly: true });
@@ -274,6 +284,10 @@
     setLeaving: (value) => {
       leaving = value;
     },
+    setLimit: (perSecond) => {
+      requestsPerSecond = perSecond;
+    },
+    arrivals,
     setReportLag: reporter.setLag,
     onOrder: (listener) => {
       orderListeners.add(listener);
--- a/packages/standins/src/plain_service/service_standin.ts
+++ b/packages/standins/src/plain_service/service_standin.ts
@@ -36,6 +36,8 @@
   readonly countRuns: (key: string) => number;
   /** Refuses new calls as leaving while true. */
   readonly setLeaving: (leaving: boolean) => void;
+  /** Names a limit of requests a second in its answers from now on; none if undefined. */
+  readonly setLimit: (perSecond: number | undefined) => void;
   /** Stops answering, as a suspended process does. */
   readonly pause: () => void;
   /** Goes on after a pause. */
@@ -59,6 +61,7 @@
   const runs: RecordedRun[] = [];
   const listeners = new Set<(run: RecordedRun) => void>();
   let leaving = false;
+  let limit: number | undefined;
 
   const run = async (
     call: StandinCall,
@@ -79,7 +82,10 @@
       await new Promise((resolve) => setTimeout(resolve, options.runMs));
     }
     await gate.wait();
-    return build(count);
+    const answer = build(count);
+    return limit === undefined
+      ? answer
+      : { ...answer, headers: { "trefoildoor-limit": String(limit) } };
   };
   const handleBooking = (call: StandinCall): Promise<StandinAnswer> => {
     const { item } = bookingSchema.parse(call.body);
@@ -127,6 +133,9 @@
     setLeaving: (value) => {
       leaving = value;
     },
+    setLimit: (perSecond) => {
+      limit = perSecond;
+    },
     pause: gate.close,
     resume: gate.open,
     crash: server.cut,
