Let completions go on only at the software version that began them

Load reports state softwareVersion; the first token pins it, prefill and decode engines of a split route are of one version, and a completion whose version serves nowhere ends at once.

--- a/packages/core/src/connection/endpoint/engine_schemas.ts
+++ b/packages/core/src/connection/endpoint/engine_schemas.ts
@@ -23,6 +23,7 @@
   decodeTokensPerSecond: z.number().min(0),
   cachedPrefixes: z.array(z.string()),
   requestsPerSecond: z.number().min(0).optional(),
+  softwareVersion: z.string().optional(),
 });
 
 /** Schema of an engine's state. */
--- a/packages/core/src/request/completion/completion.steps.ts
+++ b/packages/core/src/request/completion/completion.steps.ts
@@ -259,6 +259,7 @@
       });
     },
     getEngine: (name) => buildEngine(name, world),
+    getSoftwareVersion: () => "",
     allowResume: () => true,
     isLeaving: (name) =>
       world.exportBegan === true &&
--- a/packages/core/src/request/completion/dependencies.ts
+++ b/packages/core/src/request/completion/dependencies.ts
@@ -15,6 +15,7 @@
 import {
   chooseRoute,
   type EndpointTable,
+  getSoftwareVersion,
   type Route,
   type RouteRequest,
 } from "../routing/index.ts";
@@ -72,8 +73,15 @@
 ): CompletionDependencies {
   return {
     admit: (call, signal) => admitCall(call, context, { signal }),
-    chooseRoute: (call, excluded, { signal }) =>
-      chooseEngine(call, context, { version, excluded, signal }),
+    chooseRoute: (call, excluded, { signal, softwareVersion }) =>
+      chooseEngine(call, context, {
+        version,
+        excluded,
+        signal,
+        softwareVersion,
+      }),
+    getSoftwareVersion: (engine) =>
+      getSoftwareVersion(context.table.getView(engine)),
     allowResume(engine, call): boolean {
       if (!context.limits.mayUse({ name: engine }, call.requestId)) {
         return false;
@@ -125,9 +133,10 @@
     readonly version: VersionRouting;
     readonly excluded: ReadonlySet<EndpointName>;
     readonly signal: AbortSignal;
+    readonly softwareVersion: string | undefined;
   },
 ): Promise<Either<Refusal, CompletionRoute>> {
-  const { version, excluded, signal } = options;
+  const { version, excluded, signal, softwareVersion } = options;
   const mayUse = createLimitCheck(call, context);
   const verdict = context.suspects.getVerdict(call.digest);
   if (isRefused(call, context)) return Left(refuseSuspect());
@@ -141,6 +150,7 @@
         random: context.random,
         engines: version.listEngines(call),
         exclude: new Set([...exclude, ...heldBack]),
+        softwareVersion,
         ownDomain: context.ownDomain,
         getDelayMs: version.getDelayMs,
       });
--- a/packages/core/src/request/completion/stream_completion.ts
+++ b/packages/core/src/request/completion/stream_completion.ts
@@ -27,6 +27,8 @@
   readonly delivered: string[];
   /** Engines that failed or refused the request and are not tried again. */
   readonly excluded: Set<EndpointName>;
+  /** Software version that delivered the first token; undefined before it. */
+  softwareVersion: string | undefined;
   /** Whether an engine may have run the request. */
   dispatched: boolean;
   deadlinePassed: boolean;
@@ -44,6 +46,7 @@
   const state: RunState = {
     delivered: [],
     excluded: new Set(),
+    softwareVersion: undefined,
     dispatched: false,
     deadlinePassed: false,
   };
@@ -93,6 +96,7 @@
   for (let attempt = 1;; attempt++) {
     const chosen = await dependencies.chooseRoute(call, state.excluded, {
       signal,
+      softwareVersion: state.softwareVersion,
     });
     const route = chosen.extract();
     if (isRefusal(route)) {
@@ -106,7 +110,9 @@
       return;
     }
     const start = { call, route, delivered: state.delivered, signal };
+    const version = dependencies.getSoftwareVersion(route.engine);
     const failure = yield* runAttempt(start, { dependencies, state });
+    if (state.delivered.length > 0) state.softwareVersion ??= version;
     if (!failure) return;
     if (signal.aborted) {
       if (state.deadlinePassed) {
--- a/packages/core/src/request/completion/types.ts
+++ b/packages/core/src/request/completion/types.ts
@@ -92,8 +92,14 @@
   readonly chooseRoute: (
     call: CompletionCall,
     excluded: ReadonlySet<EndpointName>,
-    options: { readonly signal: AbortSignal },
+    options: {
+      readonly signal: AbortSignal;
+      /** Software version that has delivered tokens, to which the route must keep; undefined before the first token. */
+      readonly softwareVersion: string | undefined;
+    },
   ) => Promise<Either<Refusal, CompletionRoute>>;
+  /** Version of the engine's software; "" if it states none. */
+  readonly getSoftwareVersion: (engine: EndpointName) => string;
   /** Whether the engine's limit leaves room to ask it for the rest of a broken stream; counts the request. */
   readonly allowResume: (engine: EndpointName, call: CompletionCall) => boolean;
   readonly getEngine: (engine: EndpointName) => EngineClient;
--- a/packages/core/src/request/routing/choose.ts
+++ b/packages/core/src/request/routing/choose.ts
@@ -43,6 +43,8 @@
   readonly engines?: ReadonlySet<EndpointName>;
   /** Engines on which the request has already failed. */
   readonly exclude?: ReadonlySet<EndpointName>;
+  /** Software version that began the stream, "" if it states none; any if absent. */
+  readonly softwareVersion?: string;
   /** Failure domain of this instance. */
   readonly ownDomain: FailureDomain;
   /** One-way delay between failure domains according to the bundle, in ms. */
@@ -97,9 +99,24 @@
 function isAllowed(view: EngineView, options: RouteOptions): boolean {
   if (!view.usable) return false;
   if (options.exclude?.has(view.engine)) return false;
+  if (!mayContinueAt(view, options)) return false;
   return options.engines?.has(view.engine) ?? true;
 }
 
+/** Whether what the engine writes fits to the tokens that the caller has. */
+function mayContinueAt(
+  view: EngineView,
+  { softwareVersion }: RouteOptions,
+): boolean {
+  return softwareVersion === undefined ||
+    getSoftwareVersion(view) === softwareVersion;
+}
+
+/** Version of the engine's software; "" if it states none. */
+export function getSoftwareVersion(view: EngineView | undefined): string {
+  return view?.report?.softwareVersion ?? "";
+}
+
 /** Samples engines at random, plus the one preferred for the request's prefix. */
 function pickCandidates(
   views: readonly EngineView[],
@@ -175,8 +192,9 @@
   );
 }
 
-/** Excludes pairs of two mixed engines, which gain nothing from splitting a request. */
+/** Excludes pairs of two mixed engines, which gain nothing from splitting a request, and of two software versions. */
 function isSplitPair(prefill: EngineView, decode: EngineView): boolean {
+  if (getSoftwareVersion(prefill) !== getSoftwareVersion(decode)) return false;
   return prefill.role === EngineRole.Prefill ||
     decode.role === EngineRole.Decode;
 }
--- a/packages/core/src/request/routing/index.ts
+++ b/packages/core/src/request/routing/index.ts
@@ -1,5 +1,10 @@
 /** Load balancing: engine state, latency estimates and the choice of a route. */
-export { chooseRoute, type Route, type RouteOptions } from "./choose.ts";
+export {
+  chooseRoute,
+  getSoftwareVersion,
+  type Route,
+  type RouteOptions,
+} from "./choose.ts";
 export {
   countCachedTokens,
   estimateBacklogTokens,
--- a/packages/core/src/types/endpoints.ts
+++ b/packages/core/src/types/endpoints.ts
@@ -48,6 +48,8 @@
   readonly cachedPrefixes: readonly string[];
   /** Requests a second that the engine takes from all instances together; absent without a limit. */
   readonly requestsPerSecond?: number;
+  /** Version of the engine's software, which has no order; absent if it is not stated. */
+  readonly softwareVersion?: string;
 }
 
 /** Request for one completion. */
--- a/packages/standins/src/integration/endpoint_needs.feature
+++ b/packages/standins/src/integration/endpoint_needs.feature
@@ -14,3 +14,10 @@
     Then all engines and services get no more than the limit allows
     And all engines and services together get at least 0.5 of the limit
     And requests were refused with the reason "limited"
+
+  Scenario: A stream goes on only at the software version that began it
+    Given a quick fleet of the association with 3 instances
+    And every other engine has another software version
+    When 40 streams of 200 tokens run at once while one engine of each version ends
+    Then no stream has tokens of two software versions
+    And at least half of the streams whose engine ended go on
--- a/packages/standins/src/integration/endpoint_needs.steps.ts
+++ b/packages/standins/src/integration/endpoint_needs.steps.ts
@@ -1,6 +1,8 @@
 /** Steps of `endpoint_needs.feature`. */
 import { strict as assert } from "node:assert";
 import { Given, Then, When } from "@cucumber/cucumber";
+import { waitFor } from "@trefoildoor/core";
+import { waitUntil } from "@trefoildoor/testing";
 import type { Fleet } from "../fleet/index.ts";
 import {
   CallEnd,
@@ -13,6 +15,7 @@
   type FleetWorld,
   stepTimeoutMs,
 } from "./fleet_world.ts";
+import { callStreams } from "./streams.steps.ts";
 
 /** Endpoint whose limit is checked. */
 interface LimitedStandin {
@@ -26,6 +29,8 @@
   perSecond: number;
   namedMs: number;
   summary: LoadReportSummary;
+  wholeStreams: number;
+  streams: number;
 }
 
 const timeout = { timeout: stepTimeoutMs };
@@ -35,6 +40,8 @@
 const windowMs = 4_000;
 const allowedFactor = 1.5;
 const allowedMore = 5;
+/** Time in which all instances have read the reports of engines, in ms. */
+const reportsReadMs = 1_500;
 
 function getFleet({ standinFleet }: NeedsWorld): Fleet {
   assert.ok(standinFleet);
@@ -65,6 +72,16 @@
   },
 );
 
+Given(
+  "every other engine has another software version",
+  async function (this: NeedsWorld): Promise<void> {
+    for (const [index, { standin }] of getFleet(this).engines.entries()) {
+      standin.setSoftwareVersion(index % 2 === 0 ? "v1" : "v2");
+    }
+    await waitFor(reportsReadMs);
+  },
+);
+
 When(
   "a load of {int} requests a second runs for {int} s",
   timeout,
@@ -84,6 +101,32 @@
   },
 );
 
+When(
+  "{int} streams of {int} tokens run at once while one engine of each version ends",
+  timeout,
+  async function (
+    this: NeedsWorld,
+    count: number,
+    maxTokens: number,
+  ): Promise<void> {
+    const { engines } = getFleet(this);
+    const running = callStreams(this, { count, maxTokens });
+    await waitUntil(
+      "the streams run",
+      () =>
+        engines.flatMap(({ standin }) => standin.listGenerations())
+          .filter(({ tokens }) => tokens > 0).length >= count,
+    );
+    await Promise.all(
+      engines.slice(0, 2).map(({ standin }) => standin.crash()),
+    );
+    const results = await running;
+    this.streams = count;
+    this.wholeStreams = results.filter(({ end }) => end === CallEnd.Done)
+      .length;
+  },
+);
+
 Then(
   /^(?:the first engine and the first service|all engines and services) get no more than the limit allows$/,
   function (this: NeedsWorld): void {
@@ -128,6 +171,32 @@
   },
 );
 
+Then(
+  "no stream has tokens of two software versions",
+  function (this: NeedsWorld): void {
+    const versions = new Map<string, Set<number>>();
+    for (const [index, { standin }] of getFleet(this).engines.entries()) {
+      for (const { promptDigest, tokens } of standin.listGenerations()) {
+        if (tokens === 0) continue;
+        const known = versions.get(promptDigest) ?? new Set();
+        versions.set(promptDigest, known.add(index % 2));
+      }
+    }
+    const mixed = [...versions.values()].filter(({ size }) => size > 1);
+    assert.equal(mixed.length, 0);
+  },
+);
+
+Then(
+  "at least half of the streams whose engine ended go on",
+  function (this: NeedsWorld): void {
+    assert.ok(
+      this.wholeStreams * 2 >= this.streams,
+      `${this.wholeStreams} of ${this.streams}`,
+    );
+  },
+);
+
 function listCounted(
   { namedMs }: NeedsWorld,
   times: readonly number[],
--- a/packages/standins/src/integration/streams.steps.ts
+++ b/packages/standins/src/integration/streams.steps.ts
@@ -24,8 +24,9 @@
 const timeout = { timeout: stepTimeoutMs };
 const cutIntervalMs = 100;
 
-async function callStreams(
-  world: StreamWorld,
+/** Sends streams to all instances at once and waits for their ends. */
+export async function callStreams(
+  world: FleetWorld,
   options: { readonly count: number; readonly maxTokens: number },
 ): Promise<readonly CallResult[]> {
   const fleet = world.standinFleet;
--- a/packages/standins/src/model_engine/engine_standin.ts
+++ b/packages/standins/src/model_engine/engine_standin.ts
@@ -58,6 +58,8 @@
   readonly setLeaving: (leaving: boolean) => void;
   /** Reports a limit of requests a second from now on; none if undefined. */
   readonly setLimit: (perSecond: number | undefined) => void;
+  /** Reports this version of its software from now on. */
+  readonly setSoftwareVersion: (version: string) => void;
   /** When each completion, export and resume arrived, in ms of `performance.now()`. */
   readonly arrivals: readonly number[];
   readonly setReportLag: (lagMs: number) => void;
@@ -80,6 +82,7 @@
   let startId = randomUUID();
   let leaving = false;
   let requestsPerSecond: number | undefined;
+  let softwareVersion: string | undefined;
   const arrivals: number[] = [];
   let crashed: Promise<void> | undefined;
   let restartTimer: NodeJS.Timeout | undefined;
@@ -107,6 +110,7 @@
     decodeTokensPerSecond: computeDecodeSpeed(settings),
     cachedPrefixes: batch.cache.listReported(),
     requestsPerSecond,
+    softwareVersion,
   });
   const reporter = startLoadReporter(measureLoad, settings.reportLagMs);
 
@@ -287,6 +291,9 @@
     setLimit: (perSecond) => {
       requestsPerSecond = perSecond;
     },
+    setSoftwareVersion: (version) => {
+      softwareVersion = version;
+    },
     arrivals,
     setReportLag: reporter.setLag,
     onOrder: (listener) => {
