--- a/packages/core/src/process/fleet/keep_roles.feature
+++ b/packages/core/src/process/fleet/keep_roles.feature
@@ -21,6 +21,18 @@
     And "d1, d2" limit their requests
     Then with a share of 0.75 the plan is "p1 to decode, p2 to decode"
 
+  Scenario Outline: Engines of each software version are planned by themselves
+    Given a pool with <prefill> prefill and <decode> decode engines
+    And the software version of "<engines>" is another one
+    Then with a share of 0.75 the plan is "<plan>"
+
+    Examples:
+      | prefill | decode | engines        | plan                         |
+      | 6       | 2      | p1, p2, p3     | p1 to decode   |
+      | 6       | 2      | p1             | p1 to decode   |
+      | 4       | 4      | d1             | d2 to prefill                |
+      | 2       | 2      | p1, d1         |                              |
+
   Scenario: The first instance orders once the wish has held for two checks
     Given a pool with 3 prefill and 5 decode engines
     And an instance that keeps a share of 0.62
--- a/packages/core/src/process/fleet/keep_roles.steps.ts
+++ b/packages/core/src/process/fleet/keep_roles.steps.ts
@@ -184,6 +184,17 @@
   applyEngines(this);
 });
 
+Given(
+  "the software version of {string} is another one",
+  function (this: RolesWorld, names: string): void {
+    const others = names.split(", ");
+    this.engines = this.engines.map((engine) => ({
+      ...engine,
+      softwareVersion: others.includes(engine.name) ? "v2" : "v1",
+    }));
+  },
+);
+
 Given(
   "{string} limit their requests",
   function (this: RolesWorld, names: string): void {
--- a/packages/core/src/process/fleet/plan_roles.ts
+++ b/packages/core/src/process/fleet/plan_roles.ts
@@ -30,17 +30,43 @@
 /** Smallest pool that keeps `minDecodeEngines`; smaller pools keep one decode engine. */
 const minPoolWithSpare = 4;
 
-/** Lists the role changes that bring the pool to its prefill share, engines with the fewest calls first; none for a pool of less than two. */
+/**
+ * Lists the role changes that bring the pool to its prefill share, engines with
+ * the fewest calls first; none for a pool of less than two. Engines of each
+ * software version are planned by themselves, as prompts do not pass between
+ * versions: a prefill engine without a decode engine of its version is of no use.
+ */
 export function planRoles(input: RolePlanInput): readonly PlannedRole[] {
-  const { changing, endpointTracker } = input;
   // Engines that limit their requests keep their role and count for nothing.
   const unlimited = input.engines.filter(({ name }) => !input.isLimited(name));
   const engines = unlimited.length < 2 ? input.engines : unlimited;
+  if (engines.length + input.changing.length < 2) return [];
+  const versions = new Set(
+    [...engines, ...input.changing.map(({ endpoint }) => endpoint)]
+      .map(({ softwareVersion }) => softwareVersion),
+  );
+  return [...versions].flatMap((version) =>
+    planVersion({
+      ...input,
+      engines: engines.filter(({ softwareVersion }) =>
+        softwareVersion === version
+      ),
+      changing: input.changing.filter(({ endpoint }) =>
+        endpoint.softwareVersion === version
+      ),
+    })
+  );
+}
+
+/** Plans the engines of one software version. */
+function planVersion(
+  { engines, changing, prefillShare, endpointTracker }: RolePlanInput,
+): readonly PlannedRole[] {
   const total = engines.length + changing.length;
-  if (total < 2) return [];
+  const decodeEngines = total >= minPoolWithSpare ? minDecodeEngines : 1;
   const targetPrefill = Math.min(
-    Math.max(Math.round(total * input.prefillShare), 1),
-    total - (total >= minPoolWithSpare ? minDecodeEngines : 1),
+    Math.max(Math.round(total * prefillShare), 1),
+    total - decodeEngines,
   );
   const currentPrefill = countRole(engines, EngineRole.Prefill) +
     changing.filter(({ role }) => role === EngineRole.Prefill).length;
