Bound what digests carry of limits and streams, so that relayed batches fit

A digest now carries 32 streams, the newest first, and 16 limits in turn. A scenario reports 40 limits in three digests.

--- a/packages/core/src/process/limits/endpoint_limits.ts
+++ b/packages/core/src/process/limits/endpoint_limits.ts
@@ -86,8 +86,8 @@
 /** Time for which reports tell that a limit has ended, in ms. */
 const endedReportMs = 10_000;
 const maxEndpoints = 1_024;
-/** Endpoints in one digest, so that it fits a datagram. */
-const maxReported = 64;
+/** Endpoints in one digest, in turn, so that a batch of relayed digests fits a datagram. */
+const maxReported = 16;
 /** Change of a limit that is logged, as a share of it. */
 const loggedChange = 0.2;
 /** Longest and shortest time that callers are told to wait, in ms. */
@@ -113,6 +113,8 @@
 ): EndpointLimits {
   const log = options.logEvent ?? logEvent;
   const limits = new Map<EndpointName, Limit>();
+  /** Place of the next endpoint to report. */
+  let reported = 0;
 
   function getLimit(name: EndpointName): Limit | undefined {
     const limit = limits.get(name);
@@ -259,9 +261,13 @@
     collectReports(): LimitReports | undefined {
       for (const name of limits.keys()) getLimit(name);
       if (limits.size === 0) return undefined;
+      const from = reported % limits.size;
+      const all = [...limits];
+      const due = [...all.slice(from), ...all.slice(0, from)]
+        .slice(0, maxReported);
+      reported = from + due.length;
       return Object.fromEntries(
-        [...limits].slice(-maxReported)
-          .map(([name, limit]) => [name, buildReport(limit)]),
+        due.map(([name, limit]) => [name, buildReport(limit)]),
       );
     },
     applyReports(reports = {}, { instance, start, stopping, delayMs }): void {
--- a/packages/core/src/process/limits/limits.feature
+++ b/packages/core/src/process/limits/limits.feature
@@ -145,4 +145,9 @@
     Given 3 instances whose news takes 80 ms
     When answers of 3000 endpoints name limits at one instance
     Then each instance knows at most 1024 limits
-    And a digest reports at most 64 of them
+    And a digest reports at most 16 of them
+
+  Scenario: All limits are reported in turn
+    Given 3 instances whose news takes 80 ms
+    When answers of 40 endpoints name limits at one instance
+    Then 3 digests report all 40 of them
--- a/packages/core/src/process/limits/limits.steps.ts
+++ b/packages/core/src/process/limits/limits.steps.ts
@@ -222,6 +222,18 @@
   },
 );
 
+Then(
+  "{int} digests report all {int} of them",
+  function (this: LimitStepsWorld, digests: number, count: number): void {
+    const limits = this.instances[0]?.limits;
+    const names = Array.from(
+      { length: digests },
+      () => Object.keys(limits?.collectReports() ?? {}),
+    );
+    assert.equal(new Set(names.flat()).size, count);
+  },
+);
+
 function countInWindow(times: readonly number[]): number {
   return Math.max(
     0,
--- a/packages/core/src/process/streams/stream_origins.ts
+++ b/packages/core/src/process/streams/stream_origins.ts
@@ -72,8 +72,8 @@
 /** Number of digests that report a stream, and the pause between them in ms, as digests that are close get lost together. */
 const repeats = 3;
 const repeatIntervalMs = 400;
-/** Streams of one digest, so that it fits a datagram. */
-const maxPerDigest = 256;
+/** Streams of one digest, the newest first, so that a batch of relayed digests fits a datagram. */
+const maxPerDigest = 32;
 const maxWaiting = 2_048;
 /** Age of the list of endpoints above which it may lack a new version, in ms. */
 const maxListAgeMs = 2_000;
@@ -195,7 +195,7 @@
       const mixed = new Map<ServiceName, boolean>();
       const nowMs = performance.now();
       let count = 0;
-      for (const [key, report] of waiting) {
+      for (const [key, report] of [...waiting].toReversed()) {
         const { service, version } = report;
         const isMixed = mixed.get(service) ?? history.list(service).length > 1;
         mixed.set(service, isMixed);
--- a/packages/core/src/process/streams/streams.feature
+++ b/packages/core/src/process/streams/streams.feature
@@ -49,7 +49,7 @@
     Given 3 instances, and a service with the versions "v1, v2"
     When 70000 streams begin at the first instance
     Then each instance knows at most 65536 streams
-    And a digest reports at most 256 streams
+    And a digest reports at most 32 streams
     When 61000 ms pass for the streams
     And 1 streams begin at the first instance
     Then each instance knows at most 1 streams
