--- a/packages/node/src/entry/fleet_view.feature
+++ b/packages/node/src/entry/fleet_view.feature
@@ -40,3 +40,12 @@
     And "engine-1" is leaving
     And 1300 ms pass for the instance
     Then the instance sends "engine-1" no new work
+
+  Scenario: A digest that states no era does not make the store look restored
+    Given a store of the era 3 that answers after 500 ms
+    And an instance that relies on the reads of "a1" and lists "engine-1"
+    When 2000 ms pass for the instance
+    Then the store has counted as restored 0 times
+    When the digests of "a1" state the era 4
+    And 2000 ms pass for the instance
+    Then the store has counted as restored 1 times
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -26,6 +26,11 @@
   /** When the instance last read the list itself, in ms of the paused clock. */
   listReadMs: number;
   simulatedReader: SimulatedReader;
+  /** Era that the store states, and how long it takes to answer, in ms. */
+  storeEra?: number;
+  storeDelayMs?: number;
+  /** Times that the store has counted as restored. */
+  restored?: number;
 }
 
 /** Another instance that reads the store every second and sends a digest after each read. */
@@ -43,6 +48,8 @@
   handsOverState: boolean;
   /** Offset from which on its digests contain the changes; undefined if they contain none. */
   updateFrom: number | undefined;
+  /** Era of the store in its digests; undefined if they state none. */
+  era?: number;
 }
 
 const readIntervalMs = 1_000;
@@ -66,12 +73,15 @@
   };
 }
 
-function createEmptyTopic<Value>(): WritableTopic<Value> {
+function createEmptyTopic<Value>(world: ViewWorld): WritableTopic<Value> {
   return {
-    fetchNewest: () => Promise.resolve({ records: [], next: 0 }),
+    async fetchNewest(): Promise<TopicPage<Value>> {
+      await waitFor(world.storeDelayMs ?? 0);
+      return { records: [], next: 0, era: world.storeEra };
+    },
     async read(from, { waitMs, signal }): Promise<TopicPage<Value>> {
       await waitFor(waitMs, signal);
-      return { records: [], next: from };
+      return { records: [], next: from, era: world.storeEra };
     },
     append: () => Promise.resolve(0),
   };
@@ -79,16 +89,20 @@
 
 function openList(world: ViewWorld): ReadableTopic<ListedEndpoint> {
   return {
-    fetchNewest: () =>
-      Promise.resolve({
+    async fetchNewest(): Promise<TopicPage<ListedEndpoint>> {
+      await waitFor(world.storeDelayMs ?? 0);
+      return {
         records: world.listRecords,
         next: world.listRecords.length,
-      }),
+        era: world.storeEra,
+      };
+    },
     read(from): Promise<TopicPage<ListedEndpoint>> {
       world.listReadMs = performance.now();
       return Promise.resolve({
         records: world.listRecords.slice(from),
         next: world.listRecords.length,
+        era: world.storeEra,
       });
     },
   };
@@ -108,6 +122,7 @@
     listChanged: listRecords.length,
     listAgeMs: 0,
     readsStore: true,
+    storeEra: reader.era,
     loads: {},
     reads: { sent: {}, computed: {} },
     down: {},
@@ -151,6 +166,14 @@
   }
 }
 
+Given(
+  "a store of the era {int} that answers after {int} ms",
+  function (this: ViewWorld, era: number, delayMs: number): void {
+    this.storeEra = era;
+    this.storeDelayMs = delayMs;
+  },
+);
+
 Given(
   "an instance that relies on the reads of {string} and lists {string}",
   async function (
@@ -186,17 +209,19 @@
         leaving_ms: 3_000,
       }),
       topics: {
-        configuration: createEmptyTopic(),
-        instances: createEmptyTopic(),
-        duties: createEmptyTopic(),
-        crashes: createEmptyTopic(),
+        configuration: createEmptyTopic(this),
+        instances: createEmptyTopic(this),
+        duties: createEmptyTopic(this),
+        crashes: createEmptyTopic(this),
         endpoints: openList(this),
       },
       channels: createChannels(),
       onVersion: () => undefined,
       onUpdate: () => undefined,
       onCrashEvidence: () => undefined,
-      onStoreRestored: () => undefined,
+      onStoreRestored: () => {
+        this.restored = (this.restored ?? 0) + 1;
+      },
       onListRead: () => undefined,
       onDigestDelay: () => undefined,
       fetchOrigin: () => Promise.resolve(undefined),
@@ -230,6 +255,13 @@
   },
 );
 
+When(
+  "the digests of {string} state the era {int}",
+  function (this: ViewWorld, _name: string, era: number): void {
+    this.simulatedReader.era = era;
+  },
+);
+
 When("{string} hands over no state", function (
   this: ViewWorld,
   _name: string,
@@ -267,6 +299,13 @@
   },
 );
 
+Then(
+  "the store has counted as restored {int} times",
+  function (this: ViewWorld, times: number): void {
+    assert.equal(this.restored ?? 0, times);
+  },
+);
+
 Then(
   "the instance sends {string} no new work",
   function (this: ViewWorld, name: string): void {
