Take nothing from a shared bucket for reports without requests

Cause: each report on a limited endpoint refilled the bucket, which asked for the delay of the news and looked at all instances twice, also where the reporting instance had sent nothing: reports times limits times instances. Change: a report without new requests changes no tokens, so none are computed. Result: the new scenario counts 163 questions for 160 reports before and passes after; limits.feature: 33 scenarios pass.

--- a/packages/core/src/process/limits/limit_world.test.ts
+++ b/packages/core/src/process/limits/limit_world.test.ts
@@ -42,6 +42,8 @@
   random: () => number;
   returned: { came: number; sent: number };
   readonly troubles: Map<string, number>;
+  /** How often one instance has asked for the delay of the news. */
+  delayReads: number;
 }
 
 const msPerSecond = 1_000;
--- a/packages/core/src/process/limits/limits.feature
+++ b/packages/core/src/process/limits/limits.feature
@@ -151,3 +151,9 @@
     Given 3 instances whose news takes 80 ms
     When answers of 40 endpoints name limits at one instance
     Then 3 digests report all 40 of them
+
+  Scenario: Reports of instances that send nothing cost no look at the other instances
+    Given 81 instances whose news takes 650 ms
+    And an endpoint that names a limit of 2 a second
+    When an instance that knows of the limit hears 80 others twice, who have sent nothing
+    Then it has asked for the delay of the news 10 times at most
--- a/packages/core/src/process/limits/limits.steps.ts
+++ b/packages/core/src/process/limits/limits.steps.ts
@@ -2,7 +2,7 @@
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { pauseClock } from "@trefoildoor/testing";
-import { LimitStep } from "./index.ts";
+import { createEndpointLimits, LimitStep } from "./index.ts";
 import {
   buildEndpoint,
   type LimitStepsWorld,
@@ -242,3 +242,46 @@
     ),
   );
 }
+
+When(
+  "an instance that knows of the limit hears {int} others twice, who have sent nothing",
+  function (this: LimitStepsWorld, others: number): void {
+    const perSecond = this.named.at(-1)?.perSecond;
+    this.delayReads = 0;
+    const limits = createEndpointLimits({
+      getNewsDelayMs: () => {
+        this.delayReads += 1;
+        return this.delayMs;
+      },
+      logEvent: () => undefined,
+    });
+    limits.recordAnswer(this.endpoint, {
+      perSecond,
+      step: LimitStep.Call,
+      succeeded: true,
+    });
+    const report = {
+      startedAtMs: this.endpoint.startedAtMs ?? 0,
+      perSecond: perSecond ?? null,
+      ageMs: msPerSecond,
+      byExport: false,
+      demand: 0,
+      sends: 0,
+    };
+    for (let index = 0; index < 2 * others; index++) {
+      limits.applyReports({ [this.endpoint.name]: report }, {
+        instance: `other-${index % others}`,
+        start: "first",
+        stopping: false,
+        delayMs: 0,
+      });
+    }
+  },
+);
+
+Then(
+  "it has asked for the delay of the news {int} times at most",
+  function (this: LimitStepsWorld, most: number): void {
+    assert.ok(this.delayReads <= most, `${this.delayReads} times`);
+  },
+);
--- a/packages/core/src/process/limits/shared_bucket.ts
+++ b/packages/core/src/process/limits/shared_bucket.ts
@@ -136,6 +136,7 @@
   }
 
   function take(count: number): void {
+    if (count === 0) return;
     addTokens();
     const owed = -rate * maxOwedMs / msPerSecond - 1;
     tokens = Math.max(tokens - count, Math.min(owed, tokens));
