Keep live instances in the order of their digests, so that none is looked at in vain

Cause: each digest looked at all other instances, several times, to find those that had fallen silent: some 300 digests a second times 80 instances, with a look at the clock for each pair. Change: digests are kept in the order of their arrival, so only the oldest can have expired; the list of registered instances is built after a change only; whether this instance reads the store is asked only of news of a change. Where a stream began is asked first of instances heard last, as the former order no longer stands for anything.

--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -61,7 +61,7 @@
   readonly acceptDigest: (digest: PeerDigest) => boolean;
   /** All known instances except this one. */
   readonly listRegistered: () => readonly PeerAddress[];
-  /** Newest digests of the instances that are live. */
+  /** Newest digests of the instances that are live, in the order of their arrival. */
   readonly listLive: () => readonly PeerDigest[];
   /** Number of live instances, including this one. */
   readonly countInstances: () => number;
@@ -72,81 +72,102 @@
 /** Time without a digest or registration after which an instance is removed, in ms. */
 const removeAfterMs = 60_000;
 
+/** Pause between two checks for instances to remove, in ms. */
+const removalIntervalMs = 1_000;
+
 interface Peer {
   readonly entry: PeerAddress;
-  readonly digest?: PeerDigest;
   readonly receivedMs: number;
   readonly registeredMs: number;
 }
 
+interface HeardDigest {
+  readonly digest: PeerDigest;
+  readonly receivedMs: number;
+}
+
 /** Creates a registry without peers; `instance` is this instance's own name. */
 export function createPeerRegistry(
   options: { readonly instance: InstanceName; readonly logEvent?: LogEvent },
 ): PeerRegistry {
   const log = options.logEvent ?? logEvent;
   const peers = new Map<InstanceName, Peer>();
-
-  function isLive(peer: Peer): boolean {
-    return performance.now() - peer.receivedMs < peerTimeoutMs;
-  }
+  /** Newest digests of the live instances in the order of their arrival, so that only the oldest can have expired. */
+  const heard = new Map<InstanceName, HeardDigest>();
+  /** Undefined after a change of the registered instances. */
+  let registered: readonly PeerAddress[] | undefined;
+  let nextRemovalMs = -Infinity;
 
   function expirePeers(): void {
     const nowMs = performance.now();
-    for (const [name, peer] of peers) {
-      if (peer.digest && !isLive(peer)) {
-        log(fleetEvents.peerUnresponsive, {
-          instance: name,
-          silentMs: Math.round(nowMs - peer.receivedMs),
-        });
-        peers.set(name, { ...peer, digest: undefined });
-      }
-      if (
-        nowMs - Math.max(peer.receivedMs, peer.registeredMs) > removeAfterMs
-      ) {
-        peers.delete(name);
-      }
+    for (const [name, { receivedMs }] of heard) {
+      if (nowMs - receivedMs < peerTimeoutMs) break;
+      heard.delete(name);
+      log(fleetEvents.peerUnresponsive, {
+        instance: name,
+        silentMs: Math.round(nowMs - receivedMs),
+      });
+    }
+    if (nowMs < nextRemovalMs) return;
+    nextRemovalMs = nowMs + removalIntervalMs;
+    for (const [name, { receivedMs, registeredMs }] of peers) {
+      if (nowMs - Math.max(receivedMs, registeredMs) <= removeAfterMs) continue;
+      peers.delete(name);
+      registered = undefined;
     }
   }
 
-  function listHeard(): readonly PeerDigest[] {
-    expirePeers();
-    return [...peers.values()].flatMap(({ digest }) => digest ?? []);
+  function setPeer(peer: Peer): void {
+    const known = peers.get(peer.entry.name)?.entry;
+    const isSame = known?.address === peer.entry.address &&
+      known.failureDomain === peer.entry.failureDomain;
+    peers.set(peer.entry.name, isSame ? { ...peer, entry: known } : peer);
+    if (!isSame) registered = undefined;
   }
 
   return {
     register(entry): void {
       if (entry.name === options.instance) return;
-      const known = peers.get(entry.name);
-      peers.set(entry.name, {
-        receivedMs: -Infinity,
-        ...known,
+      setPeer({
         entry,
+        receivedMs: peers.get(entry.name)?.receivedMs ?? -Infinity,
         registeredMs: performance.now(),
       });
     },
     acceptDigest(digest): boolean {
-      if (digest.name === options.instance) return false;
-      const known = peers.get(digest.name);
-      if (known?.digest && isOlder(digest, known.digest)) return false;
-      if (!known?.digest) {
+      const { name, address, failureDomain } = digest;
+      if (name === options.instance) return false;
+      const known = heard.get(name)?.digest;
+      if (known && isOlder(digest, known)) return false;
+      if (!known) {
         log(fleetEvents.peerResponsive, {
-          instance: digest.name,
+          instance: name,
           version: digest.version,
           listNext: digest.listNext,
         });
       }
-      const nowMs = performance.now();
-      peers.set(digest.name, {
-        entry: digest,
-        digest,
-        receivedMs: nowMs,
-        registeredMs: known?.registeredMs ?? nowMs,
+      const receivedMs = performance.now();
+      heard.delete(name);
+      heard.set(name, { digest, receivedMs });
+      setPeer({
+        entry: { name, address, failureDomain },
+        receivedMs,
+        registeredMs: peers.get(name)?.registeredMs ?? receivedMs,
       });
       return true;
     },
-    listRegistered: () => [...peers.values()].map(({ entry }) => entry),
-    listLive: listHeard,
-    countInstances: () => listHeard().length + 1,
+    listRegistered(): readonly PeerAddress[] {
+      registered ??= [...peers.values()].map(({ entry }) => entry);
+      return registered;
+    },
+    listLive(): readonly PeerDigest[] {
+      expirePeers();
+      return [...heard.values()].map(({ digest }) => digest);
+    },
+    countInstances(): number {
+      expirePeers();
+      return heard.size + 1;
+    },
   };
 }
 
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -268,7 +268,7 @@
     const { next } = endpoints.getOffsets();
     const canReplaceStale = endpointTopic.getAgeMs() > staleListMs &&
       digest.listNext > next;
-    return canReplaceStale || (!isReader() && digest.listChanged > next);
+    return canReplaceStale || (digest.listChanged > next && !isReader());
   }
 
   /** Applies the changes that a digest contains, unless changes before them are missing. */
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -300,12 +300,13 @@
   return state as FleetState;
 }
 
-/** Asks one instance of each failure domain first, at most `maxAsked` in all. */
+/** Asks one instance of each failure domain first, at most `maxAsked` in all; those heard last come first, as others may have ended. */
 async function fetchOrigin(
   key: string,
   options: PeerLinkOptions,
 ): Promise<StreamOrigin | undefined> {
-  const live = options.peers.listLive().filter(({ stopping }) => !stopping);
+  const live = options.peers.listLive().filter(({ stopping }) => !stopping)
+    .toReversed();
   const domains = new Set<string>();
   const first = live.filter(({ failureDomain }) => {
     const isFirst = !domains.has(failureDomain);
