Report a new instance as ready only once the log lists it

Cause: until the log lists an instance, it refuses all calls that must not repeat, but it said that it was ready as soon as an engine answered. Beside a heavy load the append takes longer than the first probe of an engine. Change: an instance that is not registered is not ready in the first 5 s after its start; after that it serves what it can.

--- a/packages/node/src/process/daemon.ts
+++ b/packages/node/src/process/daemon.ts
@@ -24,6 +24,12 @@
 import { createWorkCount, type WorkCount } from "./work_count.ts";
 
 const noBundleRetryDelayMs = 1_000;
+/**
+ * Time after the start, in ms, for which an instance that is not registered is
+ * not ready: until then it refuses all calls that must not repeat. After that
+ * it serves what it can, as the log may take no appends.
+ */
+const registrationWaitMs = 5_000;
 /** Timeout for appending the last records of a stop to the log, in ms. */
 const recordTimeoutMs = 3_000;
 const closeTimeoutMs = 5_000;
@@ -48,6 +54,8 @@
 
 interface Lifecycle {
   phase: Phase;
+  /** In ms of `performance.now()`. */
+  readonly startedMs: number;
 }
 
 /** Starts an instance; resolves once it listens. */
@@ -55,7 +63,10 @@
   settings: Settings,
   environment: Environment,
 ): Promise<Daemon> {
-  const lifecycle: Lifecycle = { phase: Phase.Serving };
+  const lifecycle: Lifecycle = {
+    phase: Phase.Serving,
+    startedMs: performance.now(),
+  };
   // The peer server's handlers need the instance, which needs the server's address.
   const started: { instance?: Instance } = {};
   const peerServer = await openPeerServer(settings.peers, {
@@ -180,6 +191,11 @@
     return "control state is not known";
   }
   if (!instance.getVersion()) return "no bundle is in force";
+  const isStarting =
+    performance.now() - lifecycle.startedMs < registrationWaitMs;
+  if (isStarting && !instance.serving.isRegistered()) {
+    return "instance is not registered in the log";
+  }
   const usable = instance.table.listViews().some((view) => view.usable);
   return usable || instance.getVersion()?.engines.size === 0
     ? undefined
--- a/packages/standins/src/integration/planned_changes.feature
+++ b/packages/standins/src/integration/planned_changes.feature
@@ -21,3 +21,13 @@
     And a load of 25 requests a second with a half of bookings and seed 23
     When every open connection to a service falls silent twice
     Then no booking ran twice and each one that was done ran
+
+  Scenario: A new instance is ready only once the log lists it, so that it refuses no booking
+    Given a quick fleet of the association with 1 instances
+    When another instance starts while the log takes 1500 ms for each append
+    Then it is ready within 5 s, and the log has listed it before
+
+  Scenario: A new instance is ready without being listed where the log takes no appends
+    Given a quick fleet of the association with 1 instances
+    When another instance starts while the log refuses all appends
+    Then it is ready within 12 s, but not within 4 s
