Refuse repeats of calls under which plain services crash, in the daemon

Cause: nothing told one start of a service's process from the next, and calls to services were not kept as in flight. Change: a service may state a startId in its answers to pings; where it changes, the calls in flight or lately lost there become evidence in the same record as that of prompts, which instances exchange already. A service that had announced that it leaves is no crash. Bookings that differ refuse none. Remains: one call that may be repeated can crash three services before the first crash is noticed; services without a startId have no evidence.

--- a/packages/core/src/connection/endpoint/keep_endpoint.ts
+++ b/packages/core/src/connection/endpoint/keep_endpoint.ts
@@ -17,7 +17,7 @@
   readonly onLeaving?: (endpoint: EndpointName, leaving: boolean) => void;
   /** The endpoint became unresponsive (true) or responds again (false). */
   readonly onUnresponsive?: (endpoint: EndpointName, silent: boolean) => void;
-  /** The engine has restarted; called with the previous start id, before the new report. */
+  /** The endpoint has restarted; called with the previous start id, before the new report. */
   readonly onCrash?: (endpoint: EndpointName, startId: string) => void;
 }
 
@@ -60,13 +60,12 @@
     log(event, { endpoint });
     observer.onUnresponsive?.(endpoint, value);
   };
-  const handleReport = (report: LoadReport): void => {
-    if (startId !== undefined && startId !== report.startId) {
+  const handleStart = (newId: string): void => {
+    if (startId !== undefined && startId !== newId) {
       log(endpointEvents.endpointRestarted, { endpoint });
       observer.onCrash?.(endpoint, startId);
     }
-    startId = report.startId;
-    observer.onReport?.(endpoint, report);
+    startId = newId;
   };
   const replaceConnections = (): void => {
     probe.replaceConnections();
@@ -76,7 +75,9 @@
     const { result, pooledTimedOut } = await checkEndpoint(probe, signal);
     if (signal.aborted) return;
     if (result && pooledTimedOut) replaceConnections();
-    if (result?.report) handleReport(result.report);
+    const newId = result?.report?.startId ?? result?.startId;
+    if (newId !== undefined) handleStart(newId);
+    if (result?.report) observer.onReport?.(endpoint, result.report);
     if (result?.leaving !== undefined) {
       observer.onLeaving?.(endpoint, result.leaving);
     }
--- a/packages/core/src/connection/endpoint/probes.ts
+++ b/packages/core/src/connection/endpoint/probes.ts
@@ -10,6 +10,8 @@
   readonly leaving?: boolean;
   /** Load of an engine; absent on plain services. */
   readonly report?: LoadReport;
+  /** Differs at each start of a plain service's process; absent on those that state none, and on engines, whose load has it. */
+  readonly startId?: string;
 }
 
 /** Probes of one endpoint; rejections are `RemoteError`. */
@@ -34,7 +36,11 @@
 
 const probeTimeoutMs = 1_000;
 const maxIdlePings = 64;
-const pingSchema = z.object({ leaving: z.boolean().default(false) });
+const maxStartIdLength = 256;
+const pingSchema = z.object({
+  leaving: z.boolean().default(false),
+  startId: z.string().max(maxStartIdLength).optional(),
+});
 
 /** Creates the probe of an endpoint over its connections. */
 export function createProbe(
--- a/packages/core/src/request/calls/call_types.ts
+++ b/packages/core/src/request/calls/call_types.ts
@@ -33,6 +33,8 @@
     service: BundleService,
   ) => readonly ServiceEndpoint[];
   readonly openClient: (endpoint: ServiceEndpoint) => ServiceClient;
+  /** Whether endpoints have crashed under calls like this one, so that it must not be sent. */
+  readonly isSuspect?: (call: ServiceCall) => boolean;
   /** Time after which to retry, in ms, if only the limits of the service's endpoints leave no room; undefined otherwise. */
   readonly refuseLimited?: (service: BundleService) => number | undefined;
   /** Whether the retry budget allows one more attempt; defaults to always. */
@@ -54,9 +56,27 @@
 /** Retry delay sent to callers when no endpoint ran the call or one failed, in ms. */
 export const endpointRetryAfterMs = 1_000;
 
-/** Refuses a call that fits no endpoint's limit, before anything is written or sent; undefined if it may fit. */
-export function refuseLimited(
-  { service }: ServiceCall,
+/** Retry delay sent to callers whose calls crash endpoints, in ms. */
+const suspectRetryAfterMs = 60_000;
+
+/** Refuses a call that must not be sent or fits no endpoint's limit, before anything is written or sent; undefined if it may be sent. */
+export function refuseUnsendable(
+  call: ServiceCall,
+  context: CallContext,
+): Refusal | undefined {
+  if (context.isSuspect?.(call)) {
+    return buildRefusal(RefusalReason.Suspect, {
+      outcome: Outcome.NotRun,
+      message:
+        `endpoints of "${call.service.name}" crash under calls like this`,
+      retryAfterMs: suspectRetryAfterMs,
+    });
+  }
+  return refuseLimited(call.service, context);
+}
+
+function refuseLimited(
+  service: BundleService,
   context: CallContext,
 ): Refusal | undefined {
   const retryAfterMs = context.refuseLimited?.(service);
--- a/packages/core/src/request/calls/keyed_call.ts
+++ b/packages/core/src/request/calls/keyed_call.ts
@@ -25,7 +25,7 @@
 import {
   type CallAnswer,
   type CallContext,
-  refuseLimited,
+  refuseUnsendable,
   type ServiceCall,
 } from "./call_types.ts";
 import { findLiveEndpoint, sendOnce } from "./dispatch.ts";
@@ -91,8 +91,8 @@
   if (isKeyExpired(callTracker.stream.getState(), call.id.key)) {
     return Left(refuseExpired());
   }
-  const limited = refuseLimited(call, context);
-  if (limited) return Left(limited);
+  const refusal = refuseUnsendable(call, context);
+  if (refusal) return Left(refusal);
   const arrivedMs = performance.now();
   const intent = await appendIntent(call, context);
   if (intent === undefined) {
--- a/packages/core/src/request/calls/run_call.ts
+++ b/packages/core/src/request/calls/run_call.ts
@@ -12,7 +12,7 @@
   type CallAnswer,
   type CallContext,
   endpointRetryAfterMs,
-  refuseLimited,
+  refuseUnsendable,
   type ServiceCall,
 } from "./call_types.ts";
 import {
@@ -33,8 +33,8 @@
   context: CallContext,
 ): Promise<Either<Refusal, CallAnswer>> {
   if (isIdempotent(call)) {
-    const limited = refuseLimited(call, context);
-    if (limited) return Left(limited);
+    const refusal = refuseUnsendable(call, context);
+    if (refusal) return Left(refusal);
     return convertResult(await sendRepeatable(call, context));
   }
   const key = call.request.key;
@@ -64,8 +64,8 @@
       message: `calls to "${call.service.name}" need an idempotency key`,
     }));
   }
-  const limited = refuseLimited(call, context);
-  if (limited) return Left(limited);
+  const refusal = refuseUnsendable(call, context);
+  if (refusal) return Left(refusal);
   const endpoint = await findLiveEndpoint(call, context);
   if (!endpoint) return convertResult({ kind: "not_run" });
   return convertResult(await sendOnce(call, context.openClient(endpoint)));
--- a/packages/node/src/process/serving.ts
+++ b/packages/node/src/process/serving.ts
@@ -32,6 +32,7 @@
 import type { DemandTracker } from "./demand.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PoolHealthTracker } from "./pool_health.ts";
+import { createWatchedCall } from "./watched_call.ts";
 
 const registrationRetryDelayMs = 1_000;
 
@@ -181,6 +182,7 @@
 ): CallContext {
   const { limits } = dependencies.completion;
   const callId = randomUUID();
+  const watched = createWatchedCall(callId, dependencies.completion);
   const considered = new Set<EndpointName>();
   const mayUse = ({ name }: ServiceEndpoint): boolean => {
     if (!considered.has(name)) {
@@ -198,12 +200,14 @@
       const client = dependencies.clients.openService(name, address);
       return {
         ...client,
-        call(request, signal): Promise<ServiceAnswer> {
+        async call(request, signal): Promise<ServiceAnswer> {
+          watched.check(request);
           limits.recordSend({ name });
-          return client.call(request, signal);
+          return await watched.run(name, () => client.call(request, signal));
         },
       };
     },
+    isSuspect: ({ request }) => watched.isSuspect(request),
     refuseLimited(service): number | undefined {
       const endpoints = rank(service);
       if (endpoints.length === 0 || endpoints.some(mayUse)) return undefined;
--- a/packages/node/src/process/tasks.ts
+++ b/packages/node/src/process/tasks.ts
@@ -108,8 +108,14 @@
       else if (unresponsive) silentServices.add(endpoint);
       else silentServices.delete(endpoint);
     },
-    onCrash: (engine, startId) =>
-      recordEngineCrash(engine, instance, { startId }),
+    onCrash: (endpoint, startId) => {
+      // A service that announced that it leaves may end with calls in flight.
+      const isService = table.getView(endpoint) === undefined;
+      if (isService && members.isLeaving(endpoint)) return;
+      if (!isService) return recordEngineCrash(endpoint, instance, { startId });
+      const suspects = instance.inFlight.listSuspects(endpoint);
+      instance.promptCrashes.recordCrash(endpoint, suspects, { startId });
+    },
     onRemoved: (endpoint) => {
       table.removeEngine(endpoint);
       instance.limits.forget({ name: endpoint });
--- a/packages/standins/src/plain_service/service_standin.ts
+++ b/packages/standins/src/plain_service/service_standin.ts
@@ -62,6 +62,7 @@
   const listeners = new Set<(run: RecordedRun) => void>();
   let leaving = false;
   let limit: number | undefined;
+  let starts = 1;
 
   const run = async (
     call: StandinCall,
@@ -117,7 +118,7 @@
     routes: {
       "GET /ping": async () => {
         await gate.wait();
-        return { status: 200, body: { leaving } };
+        return { status: 200, body: { leaving, startId: `start-${starts}` } };
       },
       "POST /bookings": handleBooking,
       "POST /charges": handleBooking,
@@ -139,7 +140,10 @@
     pause: gate.close,
     resume: gate.open,
     crash: server.cut,
-    restart: server.restore,
+    restart: () => {
+      starts += 1;
+      return server.restore();
+    },
     onRun: (listener) => {
       listeners.add(listener);
       return () => listeners.delete(listener);
