--- a/packages/core/src/request/completion/prompt_crashes.ts
+++ b/packages/core/src/request/completion/prompt_crashes.ts
@@ -1,7 +1,8 @@
 /**
  * Crash evidence of prompt prefixes. Requests that crash engines need not be
  * alike: they may share the first blocks of their prompts only. Repeats of one
- * request are found sooner by their digest, see `suspects`.
+ * request are found sooner by their digest, see `suspects`. Calls to plain
+ * services are kept here as well, as requests without prefixes.
  */
 import {
   type CrashReports,
@@ -24,13 +25,13 @@
   "requestId" | "digest" | "prefixes"
 >;
 
-/** Crash evidence of one instance about prompt prefixes. */
+/** Crash evidence of one instance about prompt prefixes and calls to plain services. */
 export interface PromptCrashes {
   /** Why the request must not run; undefined if it may. */
   readonly findVerdict: (request: PromptRequest) => TraitVerdict | undefined;
   /** Records a request that ran to its end. */
   readonly recordSuccess: (request: PromptRequest) => void;
-  /** Records that the start `startId` of an engine crashed with these requests in flight. */
+  /** Records that the start `startId` of an engine or service endpoint crashed with these requests in flight. */
   readonly recordCrash: (
     engine: EndpointName,
     inFlight: readonly PromptRequest[],
