--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -71,7 +71,6 @@
 const peerTimeoutMs = 3_000;
 /** Time without a digest or registration after which an instance is removed, in ms. */
 const removeAfterMs = 60_000;
-
 /** Pause between two checks for instances to remove, in ms. */
 const removalIntervalMs = 1_000;
 
