--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -12,10 +12,7 @@
 import process from "node:process";
 import type { Outcomes } from "./outcomes.ts";
 
-/**
- * Runs of features that go on at the same time. Each has a whole fleet and its
- * load; a third one leaves stand-ins without a core for seconds on 8 cores.
- */
+/** Runs of features that go on at the same time; each can have a whole fleet and its load. */
 const concurrentRuns = 2;
 const knownRedPath = "KNOWN-RED.txt";
 const integrationFolder = "packages/standins/src/integration/";
