--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -160,6 +160,28 @@
       ageMs: Math.round(crash.ageMs),
       calls: formatSome(calls.map(({ call }) => call.id)),
       parts: formatSome(calls.flatMap(({ call }) => listPartTraits(call))),
+      requests: formatSome(calls.map(({ call }) => buildRequestTrait(call))),
+    });
+  }
+
+  /** Logs which lost calls an answer explains. */
+  function logExplained(
+    endpoint: ListedEndpoint,
+    { calls, sentMs }: {
+      readonly calls: readonly UnsettledCall[];
+      readonly sentMs: number;
+    },
+  ): void {
+    const lost = calls.filter(({ why }) => why === Unsettled.Broken);
+    const [first] = lost;
+    if (!first) return;
+    const nowMs = performance.now();
+    log(crashEvents.lossesExplained, {
+      endpoint: endpoint.name,
+      startedAtMs: endpoint.startedAtMs,
+      calls: formatSome(lost.map(({ call }) => call.id)),
+      lostAgeMs: Math.round(nowMs - first.endedMs),
+      sentAgeMs: Math.round(nowMs - sentMs),
     });
   }
 
@@ -222,6 +244,10 @@
       const process = watched.get(id);
       if (!process) return;
       const later = process.calls.filter(({ endedMs }) => endedMs > sentMs);
+      logExplained(endpoint, {
+        calls: process.calls.filter((call) => !later.includes(call)),
+        sentMs,
+      });
       for (const { call, why, endedMs } of process.calls) {
         if (endedMs <= sentMs && why === Unsettled.Unframed) {
           recordSuccess(call);
--- a/packages/core/src/process/crashes/events.ts
+++ b/packages/core/src/process/crashes/events.ts
@@ -43,4 +43,10 @@
     severity: Severity.Warning,
     message: "stored evidence of crashes could not be read",
   },
+  lossesExplained: {
+    number: 848,
+    severity: Severity.Info,
+    message:
+      "lost calls are no sign of a crash: their endpoint answers later calls",
+  },
 } satisfies Record<string, EventType>;
