Take no answer of a new process as a sign that the former one lives, and try one call at a time

Callers saw 502 and servers ended one after the other where a server was back under its old name before the list said so: its answers cleared the crash of the process before, so nothing was refused. An answer clears lost calls only if its connection is older than the loss. Calls with traits in flight at the same crashes were tried by each instance once a second; one instance at a time tries them now, by rendezvous hashing with turns of 5 s, and waits 4 s for the result of a trial that was sent. The daemon's trials are shared in the same way.

--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -6,6 +6,7 @@
  */
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { ForwardCall, ListedEndpoint } from "../../types/index.ts";
+import { setBounded } from "./bounded_map.ts";
 import { buildRequestTrait, listPartTraits } from "./call_traits.ts";
 import { createCrashEvidence } from "./crash_evidence.ts";
 import { createCrashNews } from "./crash_news.ts";
@@ -19,6 +20,7 @@
 } from "./crash_types.ts";
 import { crashEvents } from "./events.ts";
 import { formatSome, logVerdicts } from "./log_verdicts.ts";
+import { createTrials, type MayTry } from "./trials.ts";
 
 /** How an instance learned that an endpoint's process has ended. */
 export enum EndSign {
@@ -40,6 +42,14 @@
   Unframed = "unframed",
 }
 
+/** Times of one answer, in ms of `performance.now()`. */
+export interface AnswerTimes {
+  /** When the answered call was sent. */
+  readonly sentMs: number;
+  /** When the connection was opened; a process that is back under its old name answers on new ones. */
+  readonly connectedMs: number;
+}
+
 /** Crash evidence of one instance, from its own calls and from its peers. */
 export interface CrashWatch {
   /** Records a sent call that the endpoint may not have answered in full. */
@@ -48,12 +58,17 @@
     endpoint: ListedEndpoint,
     options: { readonly why: Unsettled },
   ) => void;
-  /** Records an answer to a call sent at `sentMs`, which shows that the endpoint's process lives. */
-  readonly recordAnswer: (endpoint: ListedEndpoint, sentMs: number) => void;
+  /** Records an answer, which shows that the process lived that answers on its connection. */
+  readonly recordAnswer: (
+    endpoint: ListedEndpoint,
+    times: AnswerTimes,
+  ) => void;
   /** Records that an endpoint's process has ended. */
   readonly recordEnd: (endpoint: ListedEndpoint, sign: EndSign) => void;
   /** Records a call that an endpoint answered in full. */
   readonly recordSuccess: (call: ForwardCall) => void;
+  /** Records that a call is being sent to an endpoint, of which a trial's result is awaited. */
+  readonly recordSend: (call: ForwardCall) => void;
   /** Why the call must not be sent to any endpoint; undefined if it may. */
   readonly findVerdict: (call: ForwardCall) => TraitVerdict | undefined;
   readonly listVerdicts: () => readonly TraitVerdict[];
@@ -76,6 +91,8 @@
 export interface CrashWatchOptions {
   /** Whether an endpoint is still listed and takes new work; the end of a leaving one is no crash. */
   readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
+  /** Whether this instance runs the trials of a verdict at the moment; by default it does. */
+  readonly mayTry?: MayTry;
   /** Called after each change of the evidence. */
   readonly onChange?: () => void;
   readonly logEvent?: LogEvent;
@@ -86,10 +103,6 @@
 /** The same for calls that ended otherwise, in ms: they were in flight until then only. */
 const endedRetentionMs = 2_000;
 const maxUnsettledPerProcess = 64;
-/** Bound of each map by process, and of the one by trait. */
-const maxWatched = 256;
-/** Pause between two trials of one verdict by this instance, in ms; a trial may find all endpoints down and show nothing. */
-const trialIntervalMs = 1_000;
 const maxStoredCrashes = 32;
 
 interface UnsettledCall {
@@ -115,9 +128,7 @@
   const watched = new Map<ProcessId, WatchedProcess>();
   /** Processes that are known to have ended. */
   const ended = new Map<ProcessId, EndSign>();
-  /** Calls that run although one of their traits is refused. */
-  const trials = new WeakSet<ForwardCall>();
-  const trialMs = new Map<Trait, number>();
+  const trials = createTrials({ mayTry: options.mayTry, logEvent: log });
 
   function listTraits(call: ForwardCall): readonly Trait[] {
     return [...listPartTraits(call), buildRequestTrait(call)];
@@ -167,9 +178,8 @@
   /** Logs which lost calls an answer explains. */
   function logExplained(
     endpoint: ListedEndpoint,
-    { calls, sentMs }: {
+    { calls, sentMs, connectedMs }: AnswerTimes & {
       readonly calls: readonly UnsettledCall[];
-      readonly sentMs: number;
     },
   ): void {
     const lost = calls.filter(({ why }) => why === Unsettled.Broken);
@@ -182,6 +192,7 @@
       calls: formatSome(lost.map(({ call }) => call.id)),
       lostAgeMs: Math.round(nowMs - first.endedMs),
       sentAgeMs: Math.round(nowMs - sentMs),
+      connectionAgeMs: Math.round(nowMs - connectedMs),
     });
   }
 
@@ -203,26 +214,6 @@
     if (calls.length > 0 || isNews) addCrash(endpoint, { calls, sign });
   }
 
-  /** Lets a call run as a trial; false if it would not show which of the tied traits is the cause, or too soon after the last one. */
-  function tryCall(
-    call: ForwardCall,
-    { trait, tied }: TraitVerdict,
-    { traits }: { readonly traits: readonly Trait[] },
-  ): boolean {
-    if ([...tied].every((each) => traits.includes(each))) return false;
-    const nowMs = performance.now();
-    const lastMs = trialMs.get(trait) ?? -Infinity;
-    if (nowMs - lastMs < trialIntervalMs) return false;
-    setBounded(trialMs, { key: trait, value: nowMs });
-    trials.add(call);
-    log(crashEvents.trialBegun, {
-      call: call.id,
-      trait,
-      tied: formatSome([...tied]),
-    });
-    return true;
-  }
-
   return {
     recordUnsettled(call, endpoint, { why }): void {
       const id = getId(endpoint);
@@ -238,24 +229,24 @@
       if (calls.length > maxUnsettledPerProcess) calls.shift();
       setBounded(watched, { key: id, value: { endpoint, calls } });
     },
-    recordAnswer(endpoint, sentMs): void {
+    recordAnswer(endpoint, { sentMs, connectedMs }): void {
       if (watched.size === 0) return;
       const id = getId(endpoint);
       const process = watched.get(id);
       if (!process) return;
-      const later = process.calls.filter(({ endedMs }) => endedMs > sentMs);
-      logExplained(endpoint, {
-        calls: process.calls.filter((call) => !later.includes(call)),
-        sentMs,
-      });
-      for (const { call, why, endedMs } of process.calls) {
-        if (endedMs <= sentMs && why === Unsettled.Unframed) {
-          recordSuccess(call);
-        }
+      const settled = process.calls.filter(({ endedMs }) =>
+        endedMs <= sentMs && endedMs >= connectedMs
+      );
+      if (settled.length === 0) return;
+      logExplained(endpoint, { calls: settled, sentMs, connectedMs });
+      for (const { call, why } of settled) {
+        if (why === Unsettled.Unframed) recordSuccess(call);
       }
-      if (later.length > 0) watched.set(id, { endpoint, calls: later });
+      const open = process.calls.filter((call) => !settled.includes(call));
+      if (open.length > 0) watched.set(id, { endpoint, calls: open });
       else watched.delete(id);
     },
+    recordSend: trials.recordSend,
     recordEnd,
     recordSuccess,
     findVerdict(call): TraitVerdict | undefined {
@@ -264,7 +255,7 @@
       for (const trait of traits) {
         const verdict = evidence.getVerdict(trait);
         if (!verdict) continue;
-        return tryCall(call, verdict, { traits }) ? undefined : verdict;
+        return trials.tryCall(call, verdict, { traits }) ? undefined : verdict;
       }
       return undefined;
     },
@@ -313,14 +304,3 @@
 function getId({ name, startedAtMs }: ListedEndpoint): ProcessId {
   return getProcessId({ endpoint: name, startedAtMs });
 }
-
-/** Sets the entry as the newest one and removes the oldest above `maxWatched`. */
-function setBounded<V>(
-  map: Map<string, V>,
-  { key, value }: { readonly key: string; readonly value: V },
-): void {
-  map.delete(key);
-  map.set(key, value);
-  const [oldest] = map.keys();
-  if (map.size > maxWatched && oldest !== undefined) map.delete(oldest);
-}
--- a/packages/core/src/process/crashes/crash_world.test.ts
+++ b/packages/core/src/process/crashes/crash_world.test.ts
@@ -1,4 +1,5 @@
 /** Instances with crash watches that exchange news, for the steps of `crashes.feature`. */
+import { strict as assert } from "node:assert";
 import type { PausedClock } from "@trefoildoor/testing";
 import type { EventFields } from "../../shared/index.ts";
 import type { ForwardCall, ListedEndpoint } from "../../types/index.ts";
@@ -6,6 +7,7 @@
   type CrashWatch,
   createCrashWatch,
   EndSign,
+  isTrialOwner,
   Unsettled,
 } from "./index.ts";
 import type { CrashReports } from "./crash_types.ts";
@@ -32,8 +34,11 @@
 /** Digests after which all news has been passed on. */
 const digestsUntilTold = 4;
 
-/** Creates an instance without evidence. */
-export function createInstance(name: string): WatchedInstance {
+/** Creates an instance without evidence; it runs trials itself, or in turn with the instances that `listOthers` names. */
+export function createInstance(
+  name: string,
+  listOthers: () => readonly string[] = () => [],
+): WatchedInstance {
   const events: WatchedInstance["events"] = [];
   return {
     name,
@@ -42,6 +47,8 @@
     heard: true,
     watch: createCrashWatch({
       isAccepting: ({ leaving }) => !leaving,
+      mayTry: (trait, sinceCrashMs) =>
+        isTrialOwner(trait, { sinceCrashMs, own: name, others: listOthers() }),
       logEvent: ({ number }, fields = {}) => events.push({ number, fields }),
     }),
   };
@@ -137,8 +144,30 @@
 }
 
 /** Replaces the instances of a scenario by new ones, named by a comma-separated list. */
-export function prepareInstances(world: CrashStepsWorld, names: string): void {
+export function prepareInstances(
+  world: CrashStepsWorld,
+  names: string,
+  { shareTrials = false }: { readonly shareTrials?: boolean } = {},
+): void {
   world.calls = 0;
   world.endpoints = 0;
-  world.instances = names.split(", ").map(createInstance);
+  const all = names.split(", ");
+  world.instances = all.map((name) =>
+    createInstance(
+      name,
+      () => shareTrials ? all.filter((other) => other !== name) : [],
+    )
+  );
+}
+
+/** Finds the instances named by a comma-separated list. */
+export function pickInstances(
+  world: CrashStepsWorld,
+  names: string,
+): readonly WatchedInstance[] {
+  return names.split(", ").map((name) => {
+    const found = world.instances.find((each) => each.name === name);
+    assert.ok(found, name);
+    return found;
+  });
 }
--- a/packages/core/src/process/crashes/crashes.feature
+++ b/packages/core/src/process/crashes/crashes.feature
@@ -75,7 +75,7 @@
     And calls with "top bad" are refused at "a, b, c"
 
   Scenario: Instances do not all try calls with traits in flight at the same crashes
-    Given the instances "a, b, c, d, e, f, g, h, i" that pass news of crashes on to each other
+    Given the instances "a, b, c, d, e, f, g, h, i", of which one at a time tries calls
     When 3 endpoints crash under "top bad" at "a, b, c" in turn, beside nothing
     Then at most 3 calls with "bad" may run within 6 s at all instances, while it is not known how they end
 
--- a/packages/core/src/process/crashes/crashes.steps.ts
+++ b/packages/core/src/process/crashes/crashes.steps.ts
@@ -11,13 +11,13 @@
   createInstance,
   exchangeNews,
   passTime,
+  pickInstances,
   prepareInstances,
   type WatchedInstance,
 } from "./crash_world.test.ts";
 import { crashEvents, EndSign, Unsettled } from "./index.ts";
 
 const msPerSecond = 1_000;
-const callsPerSecond = 4;
 
 After(function (this: CrashStepsWorld): void {
   this.crashClock?.uninstall();
@@ -31,16 +31,13 @@
   },
 );
 
-function pickInstances(
-  world: CrashStepsWorld,
-  names: string,
-): readonly WatchedInstance[] {
-  return names.split(", ").map((name) => {
-    const found = world.instances.find((each) => each.name === name);
-    assert.ok(found, name);
-    return found;
-  });
-}
+Given(
+  "the instances {string}, of which one at a time tries calls",
+  function (this: CrashStepsWorld, names: string): void {
+    this.crashClock ??= pauseClock();
+    prepareInstances(this, names, { shareTrials: true });
+  },
+);
 
 Given(
   "calls with {string} have completed at {string}",
@@ -182,7 +179,10 @@
       const waitS = /(\d+) s/.exec(why)?.[1] ?? 0;
       await this.crashClock?.tickAsync(Number(waitS) * msPerSecond + 1);
       if (/answer other calls/.test(why)) {
-        watch.recordAnswer(endpoint, performance.now());
+        watch.recordAnswer(endpoint, {
+          sentMs: performance.now(),
+          connectedMs: /new processes/.test(why) ? performance.now() : 0,
+        });
       }
       watch.recordEnd(endpoint, EndSign.List);
       await exchangeNews(this);
@@ -203,52 +203,11 @@
         why: Unsettled.Unframed,
       });
       await this.crashClock?.tickAsync(1);
-      watch.recordAnswer(endpoint, performance.now());
-    }
-  },
-);
-
-When(
-  /^a call with "(.+)" runs as a trial at "(.+)" and (completes|crashes an endpoint|finds no endpoint)$/,
-  async function (
-    this: CrashStepsWorld,
-    parts: string,
-    name: string,
-    end: string,
-  ): Promise<void> {
-    const [instance] = pickInstances(this, name);
-    assert.ok(instance);
-    const call = buildPartCall(this, parts);
-    assert.equal(instance.watch.findVerdict(call), undefined);
-    const second = buildPartCall(this, parts);
-    assert.ok(instance.watch.findVerdict(second), "one trial at a time");
-    if (end === "completes") {
-      instance.watch.recordSuccess(call);
-      await exchangeNews(this);
-    } else if (end === "crashes an endpoint") {
-      await crashUnder(this, new Map([[instance, [call]]]));
-    }
-  },
-);
-
-Then(
-  "at most {int} calls with {string} may run within {int} s at all instances, while it is not known how they end",
-  async function (
-    this: CrashStepsWorld,
-    most: number,
-    parts: string,
-    seconds: number,
-  ): Promise<void> {
-    let tried = 0;
-    for (let each = 0; each < seconds * callsPerSecond; each++) {
-      for (const { watch } of this.instances) {
-        const call = buildPartCall(this, parts);
-        if (!watch.findVerdict(call)) tried += 1;
-      }
-      await this.crashClock?.tickAsync(msPerSecond / callsPerSecond);
+      watch.recordAnswer(endpoint, {
+        sentMs: performance.now(),
+        connectedMs: 0,
+      });
     }
-    assert.ok(tried > 0, "no call is tried");
-    assert.ok(tried <= most, `${tried} calls are tried`);
   },
 );
 
--- a/packages/core/src/process/crashes/index.ts
+++ b/packages/core/src/process/crashes/index.ts
@@ -9,6 +9,7 @@
   type TraitVerdict,
 } from "./crash_types.ts";
 export {
+  type AnswerTimes,
   type CrashWatch,
   type CrashWatchOptions,
   createCrashWatch,
@@ -16,3 +17,4 @@
   Unsettled,
 } from "./crash_watch.ts";
 export { crashEvents } from "./events.ts";
+export { isTrialOwner, type MayTry } from "./trials.ts";
--- a/packages/core/src/request/completion/prompt_crashes.ts
+++ b/packages/core/src/request/completion/prompt_crashes.ts
@@ -8,6 +8,7 @@
   type CrashReports,
   createCrashWatch,
   EndSign,
+  type MayTry,
   type TraitVerdict,
   Unsettled,
 } from "../../process/crashes/index.ts";
@@ -48,10 +49,11 @@
 
 /** Creates the record of one instance, without crashes. */
 export function createPromptCrashes(
-  options: { readonly logEvent?: LogEvent } = {},
+  options: { readonly mayTry?: MayTry; readonly logEvent?: LogEvent } = {},
 ): PromptCrashes {
   const watch = createCrashWatch({
     isAccepting: () => true,
+    mayTry: options.mayTry,
     logEvent: options.logEvent,
   });
   /** One call for each request, as a trial is tied to it. */
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -162,9 +162,11 @@
   const reserved = state.reserved === facts.endpoint.name;
   if (reserved) state.reserved = undefined;
   else parts.limits.recordSend(facts.endpoint);
+  parts.crashes.recordSend(call);
   const answer = await parts.sender.send(call, facts, options);
   if (answer.head.status !== misdirectedStatus) {
-    parts.crashes.recordAnswer(facts.endpoint, sentMs);
+    const { connectedMs } = answer;
+    parts.crashes.recordAnswer(facts.endpoint, { sentMs, connectedMs });
     recordLimit(state, facts, answer);
   }
   const wrong = findAnswerFault(answer, state, facts);
--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -124,6 +124,7 @@
   return {
     head: buildHead(call, behaviour),
     framed: !behaviour.startsWith("unframed"),
+    connectedMs: 0,
     body: streamBody(send, signal),
   };
 }
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -28,6 +28,8 @@
    * when the connection closes, and truncation cannot be detected.
    */
   readonly framed: boolean;
+  /** When its connection was opened, in ms of `performance.now()`. */
+  readonly connectedMs: number;
   /**
    * Rejects with `RemoteError` when the answer breaks off. Ending the
    * iteration early closes the connection.
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -30,6 +30,8 @@
   readonly headers: readonly string[];
   /** Whether a header states the body's length or encoding; otherwise the body ends with the connection. */
   readonly framed: boolean;
+  /** When the connection was opened, in ms of `performance.now()`. */
+  readonly connectedMs: number;
   readonly body: AsyncIterable<Buffer>;
 }
 
@@ -69,6 +71,7 @@
   socket?: Socket;
   /** Whether the connection ended by a reset. */
   wasReset: boolean;
+  connectedMs: number;
   idleSinceMs: number;
 }
 
@@ -93,6 +96,7 @@
           openSocket(channel, callback as SocketCallback),
       }),
       wasReset: false,
+      connectedMs: Infinity,
       idleSinceMs: performance.now(),
     };
     channel.client.on("disconnect", () => removeIdle(channel));
@@ -184,6 +188,7 @@
     socket.removeListener("error", fail);
     socket.setKeepAlive(true, keepAliveProbeDelayMs);
     channel.socket = socket;
+    channel.connectedMs = performance.now();
     callback(null, socket);
   });
 }
@@ -254,7 +259,14 @@
         headReceived = true;
         const raw = started.rawHeaders as readonly Buffer[] | null;
         const headers = (raw ?? []).map((each) => each.toString("latin1"));
-        resolve({ status, headers, framed: isFramed(headers), body });
+        const { connectedMs } = channel;
+        resolve({
+          status,
+          headers,
+          framed: isFramed(headers),
+          connectedMs,
+          body,
+        });
       },
       onResponseData: (_started, chunk) => body.add(chunk),
       onResponseEnd(): void {
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -55,6 +55,7 @@
       return {
         head: codec.decodeHead(answer.status, answer.headers),
         framed: answer.framed,
+        connectedMs: answer.connectedMs,
         body: answer.body,
       };
     },
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -20,6 +20,7 @@
   fleetEvents,
   type FollowedTopic,
   followTopic,
+  isTrialOwner,
   type ListUpdate,
   type LogEvent,
   type PeerDigest,
@@ -129,6 +130,12 @@
   const listUpdates = createListUpdates();
   const crashes = createCrashWatch({
     isAccepting: (endpoint) => endpoints.isAccepting(endpoint),
+    mayTry: (trait, sinceCrashMs) =>
+      isTrialOwner(trait, {
+        sinceCrashMs,
+        own: settings.instance,
+        others: peers.listLive().map(({ name }) => name),
+      }),
     onChange: options.onCrashEvidence,
     logEvent,
   });
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -22,6 +22,7 @@
   type InFlightRequests,
   type InstanceName,
   isEngineDrained,
+  isTrialOwner,
   LimitStep,
   type LoadReport,
   logEvent,
@@ -130,7 +131,15 @@
     onLeaving: (endpoint) => members.recordLeaving(endpoint),
   });
   const suspects = createSuspects({ instance: name });
-  const promptCrashes = createPromptCrashes({ logEvent });
+  const promptCrashes = createPromptCrashes({
+    mayTry: (trait, sinceCrashMs) =>
+      isTrialOwner(trait, {
+        sinceCrashMs,
+        own: peerAddress,
+        others: members.listPeers().map(({ address }) => address),
+      }),
+    logEvent,
+  });
   const inFlight = createInFlightRequests();
   const demand = createDemandTracker(name);
   const callTracker = createCallTracker(
