Tell whether an instance is cut off from endpoints that its peers reach

Digests report which endpoints answered an instance lately, 8 addresses with ages. An instance to which no endpoint answers probes three; it is cut off if no connection succeeds while peers report answers of two of them since (890, 891, 892, gauge trefoildoor_cut_off). One silent endpoint, a service that is down for all and a process that did not run do not count. Nothing is decided by it yet. The pool of connections is split into sockets, bodies and errors, and the start of an entry into readiness and its link.

--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -2,6 +2,7 @@
 import { type LogEvent, logEvent } from "../../shared/index.ts";
 import type { FailureDomain, InstanceName } from "../../types/index.ts";
 import type { CrashReports } from "../crashes/index.ts";
+import type { ContactReports } from "../links/index.ts";
 import type { LimitReports } from "../limits/index.ts";
 import type { OriginReports } from "../streams/index.ts";
 import type { DownEndpoints, PartReports } from "./endpoint_tracker.ts";
@@ -48,6 +49,10 @@
   readonly limits?: LimitReports;
   /** Streams that the instance has begun while several software versions serve; absent if there are none. */
   readonly origins?: OriginReports;
+  /** Endpoints that answered the instance lately, by address; absent in digests of former versions. */
+  readonly contacts?: ContactReports;
+  /** Whether the instance is cut off from the endpoints; absent if it is not. */
+  readonly cut?: boolean;
   /** Whether the instance is shutting down. */
   readonly stopping: boolean;
   /** Recent changes of the list, sent by the instance that reads the store to the others of its failure domain. */
--- a/packages/core/src/process/index.ts
+++ b/packages/core/src/process/index.ts
@@ -5,6 +5,7 @@
 export * from "./fleet/index.ts";
 export * from "./lease/index.ts";
 export * from "./limits/index.ts";
+export * from "./links/index.ts";
 export * from "./log/index.ts";
 export * from "./membership/index.ts";
 export * from "./orders/index.ts";
--- /dev/null
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -0,0 +1,193 @@
+/**
+ * Tells whether this instance is cut off from the endpoints while its peers are
+ * not. New connections to several endpoints fail, none succeeds, and peers
+ * report answers of the same endpoints since. A single silent endpoint, a
+ * service that is down for all and a frozen instance do not look like that.
+ */
+import { type LogEvent, logEvent, waitFor } from "../../shared/index.ts";
+import { type ContactReports, createContacts } from "./contacts.ts";
+import { linkEvents } from "./events.ts";
+
+/** Links between one instance and the endpoints. */
+export interface EndpointLinks {
+  /** Records that an endpoint answered or accepted a connection. */
+  readonly recordContact: (address: string) => void;
+  /** Records that a request was sent. */
+  readonly recordSent: (address: string) => void;
+  /** Records that a connection could not be opened or broke. */
+  readonly recordFailure: (address: string) => void;
+  /** Whether the endpoints are out of reach for this instance only. */
+  readonly isCut: () => boolean;
+  /** Whether that may be so, so that what the instance believes of endpoints is not to be passed on. */
+  readonly isDoubtful: () => boolean;
+  /** Contacts of this instance, for its digest. */
+  readonly collectReports: () => ContactReports;
+  /** Applies the contacts of a peer's digest, which was sent `delayMs` ago. */
+  readonly applyReports: (reports: ContactReports, delayMs: number) => void;
+}
+
+/** Dependencies of the links. */
+export interface EndpointLinksOptions {
+  /** Addresses of the endpoints that take work. */
+  readonly listAddresses: () => readonly string[];
+  /** Tries to connect; false if that fails or takes longer than `timeoutMs`. */
+  readonly probe: (address: string, timeoutMs: number) => Promise<boolean>;
+  /** Called when the instance is cut off, and when it no longer is. */
+  readonly onChange?: (cut: boolean) => void;
+  readonly random?: () => number;
+  readonly logEvent?: LogEvent;
+  readonly signal: AbortSignal;
+}
+
+const checkIntervalMs = 100;
+/** Time without any answer after a request was sent, after which links are probed, in ms. */
+const silenceMs = 400;
+/** The same without requests, in ms. */
+const idleMs = 1_500;
+/** Timeout of a probe, in ms; round trips are below 20 ms, and a lost packet is sent again after 200 ms. */
+const probeTimeoutMs = 400;
+const probesPerRound = 3;
+const maxProbesPerRound = 4;
+/** Pause between two rounds of probes of a cut instance, in ms. */
+const cutIntervalMs = 500;
+/** Endpoints out of reach that peers reach, for a cut. */
+const minRefuted = 2;
+/** Lateness of a check above which the process did not run, in ms; what it did not hear then tells nothing. */
+const frozenMs = 300;
+
+/** Starts to watch the links until the signal aborts. */
+export function watchEndpointLinks(
+  options: EndpointLinksOptions,
+): EndpointLinks {
+  const { listAddresses, probe, random = Math.random, signal } = options;
+  const log = options.logEvent ?? logEvent;
+  const own = createContacts();
+  const peers = createContacts();
+  /** When the oldest request without an answer of any endpoint after it was sent. */
+  let unansweredMs = Infinity;
+  let failed = false;
+  let cutMs: number | undefined;
+  /** Endpoints that could not be connected to, with the start of the first failed probe, since a connection succeeded. */
+  const unreached = new Map<string, number>();
+  let startedMs = performance.now();
+
+  function recordContact(address: string): void {
+    own.record(address);
+    unansweredMs = Infinity;
+  }
+
+  /** Addresses to probe: those that peers reached last, then others at random. */
+  function chooseAddresses(): readonly string[] {
+    return listAddresses()
+      .map((address) => ({
+        address,
+        rank: peers.getMs(address) + random(),
+        draw: random(),
+      }))
+      .toSorted((left, right) =>
+        right.rank === left.rank
+          ? right.draw - left.draw
+          : right.rank - left.rank
+      )
+      .slice(0, cutMs === undefined ? probesPerRound : maxProbesPerRound)
+      .map(({ address }) => address);
+  }
+
+  async function runProbes(): Promise<void> {
+    const roundMs = performance.now();
+    const reached = await Promise.all(
+      chooseAddresses().map(async (address) => {
+        const success = await probe(address, probeTimeoutMs);
+        if (success) recordContact(address);
+        else if (!unreached.has(address)) unreached.set(address, roundMs);
+        return success;
+      }),
+    );
+    if (signal.aborted || !reached.includes(true)) return;
+    unreached.clear();
+    failed = false;
+    setCut(false);
+  }
+
+  function listRefuted(): readonly string[] {
+    return [...unreached].flatMap(([address, sinceMs]) =>
+      peers.getMs(address) > sinceMs ? [address] : []
+    );
+  }
+
+  function setCut(cut: boolean): void {
+    if (cut === (cutMs !== undefined)) return;
+    const nowMs = performance.now();
+    log(cut ? linkEvents.cut : linkEvents.restored, {
+      unreached: [...unreached.keys()].join(" "),
+      reachedByPeers: listRefuted().join(" "),
+      peerContactAgeMs: getAgeMs(peers.getNewestMs(), nowMs),
+      contactAgeMs: getAgeMs(own.getNewestMs(), nowMs),
+      cutForMs: cutMs === undefined ? undefined : Math.round(nowMs - cutMs),
+    });
+    cutMs = cut ? nowMs : undefined;
+    options.onChange?.(cut);
+  }
+
+  function needsProbes(nowMs: number): boolean {
+    if (failed || unreached.size > 0 || cutMs !== undefined) return true;
+    if (nowMs - unansweredMs > silenceMs) return true;
+    const quietMs = Math.max(own.getNewestMs(), startedMs);
+    return nowMs - quietMs > idleMs && peers.getNewestMs() > quietMs;
+  }
+
+  async function check(): Promise<void> {
+    if (listAddresses().length === 0) return;
+    if (!needsProbes(performance.now())) return;
+    const doubted = unreached.size > 0;
+    failed = false;
+    await runProbes();
+    if (unreached.size > 0 && !doubted) {
+      log(linkEvents.doubted, {
+        unreached: [...unreached.keys()].join(" "),
+        contactAgeMs: getAgeMs(own.getNewestMs(), performance.now()),
+      });
+    }
+    const needed = Math.min(minRefuted, listAddresses().length);
+    if (unreached.size > 0 && listRefuted().length >= needed) setCut(true);
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      const pauseMs = cutMs === undefined ? checkIntervalMs : cutIntervalMs;
+      const beforeMs = performance.now();
+      await waitFor(pauseMs, signal);
+      if (signal.aborted) return;
+      if (performance.now() - beforeMs - pauseMs > frozenMs) {
+        unansweredMs = Infinity;
+        unreached.clear();
+        startedMs = performance.now();
+        continue;
+      }
+      await check();
+    }
+  }
+
+  void run();
+  return {
+    recordContact,
+    recordSent(): void {
+      unansweredMs = Math.min(unansweredMs, performance.now());
+    },
+    recordFailure(): void {
+      failed = true;
+    },
+    isCut: () => cutMs !== undefined,
+    isDoubtful: () => cutMs !== undefined || failed || unreached.size > 0,
+    collectReports: own.collectReports,
+    applyReports(reports, delayMs): void {
+      for (const [address, ageMs] of Object.entries(reports)) {
+        peers.record(address, ageMs + delayMs);
+      }
+    },
+  };
+}
+
+function getAgeMs(atMs: number, nowMs: number): number | undefined {
+  return Number.isFinite(atMs) ? Math.round(nowMs - atMs) : undefined;
+}
--- /dev/null
+++ b/packages/node/src/entry/channel_errors.ts
@@ -0,0 +1,35 @@
+/** Errors of requests on pooled connections. */
+import { Effect, RemoteError, RemoteFailure } from "@trefoildoor/core";
+
+/** Whether nothing listens at the address, or it cannot be reached otherwise. */
+export function classifyError(error: unknown): RemoteFailure {
+  const { code } = error as NodeJS.ErrnoException;
+  return code === "ECONNREFUSED"
+    ? RemoteFailure.NotListening
+    : RemoteFailure.Unreachable;
+}
+
+/** Error of a request that its signal ended; `sent` says whether any byte went out. */
+export function createAbortError(
+  signal: AbortSignal | undefined,
+  sent: boolean,
+): RemoteError {
+  const timedOut = signal?.reason instanceof DOMException &&
+    signal.reason.name === "TimeoutError";
+  return new RemoteError(
+    timedOut ? "no answer in time" : "call was given up",
+    {
+      failure: timedOut ? RemoteFailure.Timeout : RemoteFailure.Aborted,
+      effect: sent ? Effect.Unknown : Effect.None,
+      cause: signal?.reason,
+    },
+  );
+}
+
+/** Error of a request that must not be sent any more. */
+export function createRefusal(): RemoteError {
+  return new RemoteError("endpoint takes no more work", {
+    failure: RemoteFailure.Refused,
+    effect: Effect.None,
+  });
+}
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -3,10 +3,23 @@
  * connection carries one request at a time and stays open while idle. It is
  * not reused after a malformed, truncated, unframed or aborted response.
  */
-import { connect, type Socket } from "node:net";
-import { Effect, RemoteError, RemoteFailure } from "@trefoildoor/core";
+import { Effect, RemoteError } from "@trefoildoor/core";
 import type { Client as UndiciClient, Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
+import { createBody } from "./channel_body.ts";
+import {
+  classifyError,
+  createAbortError,
+  createRefusal,
+} from "./channel_errors.ts";
+import {
+  canConnect,
+  type ChannelObserver,
+  type ChannelsOptions,
+  type ConnectingChannel,
+  openSocket,
+  type SocketCallback,
+} from "./channel_sockets.ts";
 
 /** One HTTP request. */
 export interface ChannelRequest {
@@ -46,12 +59,12 @@
   readonly hasIdle: (address: string, maxIdleMs?: number) => boolean;
   /** Closes idle connections to an address that is no longer used. */
   readonly closeIdle: (address: string) => void;
+  /** Tries to open a connection, which is closed again; false if that fails or takes longer than `timeoutMs`. */
+  readonly probe: (address: string, timeoutMs: number) => Promise<boolean>;
   readonly close: () => void;
   readonly countOpened: () => number;
 }
 
-/** Timeout for establishing a connection, in ms; round trips are below 20 ms. */
-const connectTimeoutMs = 800;
 /** Idle time after which a connection is closed where the server states no keep-alive timeout, in ms. */
 const idleTimeoutMs = 8_000;
 /** Upper bound of a keep-alive timeout that the server states, in ms. */
@@ -60,23 +73,15 @@
 const idleTimeoutMarginMs = 800;
 /** Maximum number of idle connections to one address; the longest idle one is closed first. */
 const maxIdleChannels = 24;
-/** Idle time before the kernel sends TCP keep-alive probes, in ms. */
-const keepAliveProbeDelayMs = 2_000;
-
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
-interface Channel {
-  readonly address: string;
+interface Channel extends ConnectingChannel {
   readonly client: UndiciClient;
-  socket?: Socket;
-  /** Whether the connection ended by a reset. */
-  wasReset: boolean;
-  connectedMs: number;
   idleSinceMs: number;
 }
 
 /** Creates an empty connection pool; connections are opened on demand. */
-export function createChannels(): Channels {
+export function createChannels(options: ChannelsOptions = {}): Channels {
   const idle = new Map<string, Channel[]>();
   let opened = 0;
   let closed = false;
@@ -93,7 +98,7 @@
         keepAliveMaxTimeout: maxIdleTimeoutMs,
         keepAliveTimeoutThreshold: idleTimeoutMarginMs,
         connect: (_options, callback) =>
-          openSocket(channel, callback as SocketCallback),
+          openSocket(channel, callback as SocketCallback, options),
       }),
       wasReset: false,
       connectedMs: Infinity,
@@ -144,6 +149,7 @@
     exchange: (address, request) =>
       runExchange(claimChannel(address, request.maxIdleMs), request, {
         onFree: releaseChannel,
+        observer: options.observer,
       }),
     hasIdle(address, maxIdleMs = Infinity): boolean {
       const newest = idle.get(address)?.at(-1);
@@ -155,6 +161,7 @@
       idle.delete(address);
       for (const channel of pooled) closeChannel(channel);
     },
+    probe: (address, timeoutMs) => canConnect(address, timeoutMs, options),
     close(): void {
       closed = true;
       for (const channel of [...idle.values()].flat()) closeChannel(channel);
@@ -164,35 +171,6 @@
   };
 }
 
-type SocketCallback = (error: Error | null, socket: Socket | null) => void;
-
-function openSocket(channel: Channel, callback: SocketCallback): void {
-  const [host = "", port = ""] = channel.address.split(":");
-  const socket = connect({ host, port: Number(port), noDelay: true });
-  const timer = setTimeout(
-    () => socket.destroy(new Error("connection was not established in time")),
-    connectTimeoutMs,
-  );
-  const fail = (error: Error): void => {
-    clearTimeout(timer);
-    callback(error, null);
-  };
-  // Runs before the client's own listener, which treats a reset as the regular
-  // end of a response without a content length.
-  socket.on("error", () => {
-    channel.wasReset = true;
-  });
-  socket.once("error", fail);
-  socket.once("connect", () => {
-    clearTimeout(timer);
-    socket.removeListener("error", fail);
-    socket.setKeepAlive(true, keepAliveProbeDelayMs);
-    channel.socket = socket;
-    channel.connectedMs = performance.now();
-    callback(null, socket);
-  });
-}
-
 function closeChannel(channel: Channel): void {
   channel.client.destroy().catch(() => undefined);
 }
@@ -201,10 +179,13 @@
 function runExchange(
   channel: Channel,
   request: ChannelRequest,
-  options: { readonly onFree: (channel: Channel) => void },
+  options: {
+    readonly onFree: (channel: Channel) => void;
+    readonly observer?: ChannelObserver;
+  },
 ): Promise<ChannelAnswer> {
   return new Promise((resolve, reject) => {
-    const body = createBody(channel);
+    const body = createBody(() => closeChannel(channel));
     let sent = false;
     let headReceived = false;
     let ended = false;
@@ -252,8 +233,10 @@
         if (request.isAllowed?.() === false) failExchange(createRefusal());
         if (ended) return started.abort(new Error("call was given up"));
         sent = true;
+        options.observer?.onSent(channel.address);
       },
       onResponseStart(started, status): void {
+        options.observer?.onContact(channel.address);
         if (ended) return;
         if (status < 200) return;
         headReceived = true;
@@ -268,7 +251,10 @@
           body,
         });
       },
-      onResponseData: (_started, chunk) => body.add(chunk),
+      onResponseData(_started, chunk): void {
+        options.observer?.onContact(channel.address);
+        body.add(chunk);
+      },
       onResponseEnd(): void {
         // The client also reports a response without a content length as complete
         // when the connection was reset.
@@ -287,104 +273,8 @@
   });
 }
 
-function classifyError(error: unknown): RemoteFailure {
-  const { code } = error as NodeJS.ErrnoException;
-  return code === "ECONNREFUSED"
-    ? RemoteFailure.NotListening
-    : RemoteFailure.Unreachable;
-}
-
 function isFramed(headers: readonly string[]): boolean {
   return headers.some((name, index) =>
     index % 2 === 0 && framingHeaders.has(name.toLowerCase())
   );
 }
-
-function createAbortError(
-  signal: AbortSignal | undefined,
-  sent: boolean,
-): RemoteError {
-  const timedOut = signal?.reason instanceof DOMException &&
-    signal.reason.name === "TimeoutError";
-  return new RemoteError(
-    timedOut ? "no answer in time" : "call was given up",
-    {
-      failure: timedOut ? RemoteFailure.Timeout : RemoteFailure.Aborted,
-      effect: sent ? Effect.Unknown : Effect.None,
-      cause: signal?.reason,
-    },
-  );
-}
-
-function createRefusal(): RemoteError {
-  return new RemoteError("endpoint takes no more work", {
-    failure: RemoteFailure.Refused,
-    effect: Effect.None,
-  });
-}
-
-/** Unread bytes of a response above which reading from the connection is paused. */
-const maxBufferedBytes = 128 * 1_024;
-
-interface Body extends AsyncIterable<Buffer> {
-  controller?: Dispatcher.DispatchController;
-  onAbandoned: () => void;
-  readonly add: (chunk: Buffer) => void;
-  readonly end: () => void;
-  readonly fail: (error: Error) => void;
-}
-
-/** Creates the body of one response: an iterator for one reader, with back-pressure. */
-function createBody(channel: Channel): Body {
-  const chunks: Buffer[] = [];
-  let bufferedBytes = 0;
-  let done = false;
-  let error: Error | undefined;
-  let wake: (() => void) | undefined;
-
-  function notifyReader(): void {
-    wake?.();
-    wake = undefined;
-  }
-
-  async function readNext(): Promise<IteratorResult<Buffer, undefined>> {
-    while (true) {
-      const chunk = chunks.shift();
-      if (chunk) {
-        bufferedBytes -= chunk.length;
-        if (bufferedBytes <= maxBufferedBytes) body.controller?.resume();
-        return { done: false, value: chunk };
-      }
-      if (error) throw error;
-      if (done) return { done: true, value: undefined };
-      await new Promise<void>((resolve) => wake = resolve);
-    }
-  }
-
-  const iterator: AsyncIterator<Buffer, undefined> = {
-    next: readNext,
-    return: () => {
-      if (!done && !error) body.onAbandoned();
-      return Promise.resolve({ done: true, value: undefined });
-    },
-  };
-  const body: Body = {
-    onAbandoned: () => closeChannel(channel),
-    add(chunk): void {
-      chunks.push(chunk);
-      bufferedBytes += chunk.length;
-      if (bufferedBytes > maxBufferedBytes) body.controller?.pause();
-      notifyReader();
-    },
-    end: () => {
-      done = true;
-      notifyReader();
-    },
-    fail: (failure) => {
-      error = failure;
-      notifyReader();
-    },
-    [Symbol.asyncIterator]: () => iterator,
-  };
-  return body;
-}
--- a/packages/node/src/entry/digests.test.ts
+++ b/packages/node/src/entry/digests.test.ts
@@ -13,6 +13,9 @@
 const busyEndpoints = 3;
 const allEndpoints = 45;
 const maxWaitingTokens = 20_000;
+/** Contacts of a digest, and their greatest age, in ms. */
+const reportedContacts = 8;
+const maxContactAgeMs = 2_000;
 
 function drawEndpoint(): string {
   return `i-${String(Math.floor(Math.random() * allEndpoints)).repeat(5)}`;
@@ -46,6 +49,12 @@
     ),
     reads: { sent: parts, computed: parts },
     down: {},
+    contacts: Object.fromEntries(
+      Array.from({ length: reportedContacts }, (_, each) => [
+        `10.0.0.${Math.floor(Math.random() * allEndpoints)}:${8_000 + each}`,
+        Math.floor(Math.random() * maxContactAgeMs),
+      ]),
+    ),
     changing: [],
     stopping: false,
   };
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -52,11 +52,11 @@
   readonly getListStatus: () => ListStatus;
   /** Time since the list of endpoints was last known to be current, in ms; Infinity before the first read. */
   readonly getListAgeMs: () => number;
-  /** Applies a digest unless it is outdated; fetches the sender's state if its configuration or list of endpoints is newer. */
+  /** Applies a digest and returns its delay in transit, in ms; undefined if it is outdated. Fetches the sender's state if its configuration or list of endpoints is newer. */
   readonly acceptDigest: (
     digest: PeerDigest,
     fetchState: (address: string) => Promise<FleetState>,
-  ) => void;
+  ) => number | undefined;
 }
 
 /** Fields of a digest on the list of endpoints. */
@@ -371,8 +371,8 @@
       };
     },
     getListAgeMs: () => endpointTopic.getAgeMs(),
-    acceptDigest(digest, fetchState): void {
-      if (!peers.acceptDigest(digest)) return;
+    acceptDigest(digest, fetchState): number | undefined {
+      if (!peers.acceptDigest(digest)) return undefined;
       // The list has aged while the digest was in transit.
       if (digest.storeEra !== undefined) {
         acceptEra(digest.storeEra, digest.name);
@@ -393,6 +393,7 @@
       if (!fetching && isBehind(digest)) {
         void mergeState(digest, { listAgeMs, fetchState });
       }
+      return delayMs;
     },
   };
 }
--- a/packages/node/src/entry/metrics.ts
+++ b/packages/node/src/entry/metrics.ts
@@ -31,6 +31,8 @@
   readonly heardInstances: number;
   /** Prompt parts and requests that are refused because endpoints crash under them. */
   readonly refusedTraits: number;
+  /** 1 while the instance is cut off from endpoints that its peers reach. */
+  readonly cutOff: number;
   /** Streams that callers may take up and whose software version is known. */
   readonly knownStreams: number;
   /** Endpoints that limit the requests of all instances together. */
@@ -153,6 +155,8 @@
     heardInstances: "Live instances, this one included",
     refusedTraits:
       "Prompt parts and requests that are refused, as endpoints crash under them",
+    cutOff:
+      "Whether this instance is cut off from endpoints that its peers reach",
     knownStreams:
       "Streams that callers may take up, whose software version is known",
     limitedEndpoints:
--- /dev/null
+++ b/packages/node/src/entry/running.ts
@@ -0,0 +1,36 @@
+/** Components of a running entry, and its mutable state. */
+import type { EndpointLinks, ForwardDependencies } from "@trefoildoor/core";
+import type { Channels } from "./channels.ts";
+import type { EntryRoles } from "./entry_roles.ts";
+import type { FleetView } from "./fleet_view.ts";
+import type { FrontServer } from "./front_server.ts";
+import type { EntryMetrics } from "./metrics.ts";
+import type { PeerLink } from "./peer_link.ts";
+import type { StoreTopics } from "./platform.ts";
+import type { EntrySettings } from "./settings.ts";
+import type { EntryOptions } from "./start_entry.ts";
+
+/** Components of a running entry. */
+export interface Running {
+  readonly settings: EntrySettings;
+  readonly options: EntryOptions;
+  readonly channels: Channels;
+  readonly links: EndpointLinks;
+  readonly topics: StoreTopics;
+  readonly fleet: FleetView;
+  readonly roles: EntryRoles;
+  readonly metrics: EntryMetrics;
+  readonly dependencies: ForwardDependencies;
+  readonly shutdown: AbortController;
+  readonly state: EntryState;
+  /** Registers this instance in the store. */
+  readonly register: () => void;
+}
+
+/** Mutable state of a running entry. */
+export interface EntryState {
+  stopping: boolean;
+  ready: boolean;
+  front?: FrontServer;
+  peerLink?: PeerLink;
+}
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -1,6 +1,5 @@
 /** Start and graceful shutdown of an entry, the process that forwards calls from callers to endpoints. */
-import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import {
   answerEnd,
   buildNotRun,
@@ -10,26 +9,25 @@
   fleetEvents,
   type ForwardDependencies,
   type LogEvent,
-  type PeerDigest,
   RefusalReason,
   runForward,
   waitFor,
+  watchEndpointLinks,
 } from "@trefoildoor/core";
+import type { ChannelsOptions } from "./channel_sockets.ts";
 import { type Channels, createChannels } from "./channels.ts";
 import { createEndpointSender } from "./endpoint_sender.ts";
 import { type EntryRoles, startRoles } from "./entry_roles.ts";
 import { keepCrashRecord } from "./crash_record.ts";
 import { entryEvents } from "./events.ts";
 import { type FleetView, openFleetView } from "./fleet_view.ts";
-import {
-  type CallerRequest,
-  type FrontServer,
-  listen,
-  openFrontServer,
-} from "./front_server.ts";
-import { type EntryMetrics, openMetrics } from "./metrics.ts";
-import { openPeerLink, type PeerLink } from "./peer_link.ts";
-import type { EntryPlatform, StoreTopics } from "./platform.ts";
+import { openLink } from "./open_link.ts";
+import { openReadiness } from "./readiness.ts";
+import type { EntryState, Running } from "./running.ts";
+import { type CallerRequest, openFrontServer } from "./front_server.ts";
+import { openMetrics } from "./metrics.ts";
+import type { PeerLink } from "./peer_link.ts";
+import type { EntryPlatform } from "./platform.ts";
 import { registerInstance } from "./register_instance.ts";
 import type { EntrySettings } from "./settings.ts";
 import { watchEventLoop } from "./watch_event_loop.ts";
@@ -46,12 +44,11 @@
   readonly logEvent: LogEvent;
   /** Number of log lines dropped since the start of the process. */
   readonly countDroppedLines: () => number;
+  /** Opens sockets to endpoints, the store and other instances; `connect` of `node:net` by default. */
+  readonly connect?: ChannelsOptions["connect"];
 }
 
-const ok = 200;
 const badRequest = 400;
-const notFound = 404;
-const unavailable = 503;
 const msPerSecond = 1_000;
 /** Retry delay told to callers while no configuration is in force, in ms. */
 const noConfigurationRetryMs = 400;
@@ -59,32 +56,6 @@
 const killMarginMs = 400;
 /** Interval at which a stopping entry checks for open requests, in ms. */
 const drainCheckIntervalMs = 50;
-/** Length of the random id that distinguishes runs of this process in digests, in bytes. */
-const startIdBytes = 4;
-
-/** Components of a running entry. */
-interface Running {
-  readonly settings: EntrySettings;
-  readonly options: EntryOptions;
-  readonly channels: Channels;
-  readonly topics: StoreTopics;
-  readonly fleet: FleetView;
-  readonly roles: EntryRoles;
-  readonly metrics: EntryMetrics;
-  readonly dependencies: ForwardDependencies;
-  readonly shutdown: AbortController;
-  readonly state: EntryState;
-  /** Registers this instance in the store. */
-  readonly register: () => void;
-}
-
-/** Mutable state of a running entry. */
-interface EntryState {
-  stopping: boolean;
-  ready: boolean;
-  front?: FrontServer;
-  peerLink?: PeerLink;
-}
 
 /** Starts an entry; resolves once it listens, and rejects if an address cannot be bound. */
 export async function startEntry(
@@ -122,7 +93,14 @@
 ): Promise<Running> {
   const { platform } = options;
   const shutdown = new AbortController();
-  const channels = createChannels();
+  const channels = createChannels({
+    connect: options.connect,
+    observer: {
+      onContact: (address) => links.recordContact(address),
+      onSent: (address) => links.recordSent(address),
+      onFailure: (address) => links.recordFailure(address),
+    },
+  });
   const state: EntryState = { stopping: false, ready: false };
   const metrics = await openMetrics(settings.metrics, {
     readGauges: () => ({
@@ -133,6 +111,7 @@
       heardInstances: fleet.peers.countInstances(),
       knownStreams: fleet.origins.count(),
       limitedEndpoints: fleet.limits.listLimited().length,
+      cutOff: links.isCut() ? 1 : 0,
       refusedTraits: fleet.crashes.listVerdicts().length,
       droppedLogLines: options.countDroppedLines(),
     }),
@@ -165,6 +144,16 @@
     logEvent,
     signal: shutdown.signal,
   });
+  const links = watchEndpointLinks({
+    listAddresses: () =>
+      fleet.endpoints.listAll().flatMap(({ address, leaving }) =>
+        leaving ? [] : [address]
+      ),
+    probe: channels.probe,
+    onChange: () => state.peerLink?.scheduleDigest(),
+    logEvent,
+    signal: shutdown.signal,
+  });
   watchEventLoop({
     onDelay: metrics.recordLoopDelay,
     logEvent,
@@ -206,6 +195,7 @@
     settings,
     options: { ...options, logEvent },
     channels,
+    links,
     topics,
     fleet,
     roles,
@@ -284,86 +274,6 @@
   });
 }
 
-function openLink(running: Running): Promise<PeerLink> {
-  const { settings, fleet, roles, state, options, shutdown } = running;
-  const start = randomBytes(startIdBytes).toString("hex");
-  let sequence = 0;
-  const buildDigest = (): PeerDigest => ({
-    start,
-    sequence: sequence += 1,
-    sentMs: Math.round(performance.now()),
-    name: settings.instance,
-    address: settings.peers,
-    failureDomain: settings.failure_domain,
-    version: fleet.getVersion()?.version ?? 0,
-    ...fleet.getListStatus(),
-    loads: fleet.endpointTracker.getReports(),
-    reads: fleet.endpointTracker.listPartReports(),
-    down: fleet.endpointTracker.listDown(),
-    changing: roles.listOrdered(),
-    limits: fleet.limits.collectReports(),
-    stopping: state.stopping,
-  });
-  return openPeerLink({
-    failureDomain: settings.failure_domain,
-    address: settings.peers,
-    peers: fleet.peers,
-    channels: running.channels,
-    buildDigest,
-    collectCrashes: fleet.crashes.collectReports,
-    collectOrigins: fleet.origins.collectReports,
-    findOrigin: fleet.origins.findByKey,
-    getState: fleet.getState,
-    onDigest: (digest) => {
-      const { peerLink } = state;
-      if (peerLink) fleet.acceptDigest(digest, peerLink.fetchState);
-    },
-    onFailure: (error) =>
-      options.logEvent(entryEvents.linkFailed, { error: String(error) }),
-    onTraffic: running.metrics.recordDigestBytes,
-    signal: shutdown.signal,
-  });
-}
-
-/** Serves the load balancer's readiness check; the response has no body because the balancer evaluates only the status code. */
-async function openReadiness(running: Running): Promise<Server> {
-  const { settings } = running;
-  const server = createServer((request, response) => {
-    request.resume();
-    const known = request.url === settings.readiness_path;
-    const status = isReady(running) ? ok : unavailable;
-    response.writeHead(known ? status : notFound, { "content-length": 0 });
-    response.end();
-  });
-  await listen(server, settings.readiness);
-  return server;
-}
-
-/** Whether the entry is ready; also logs each change of readiness. */
-function isReady(running: Running): boolean {
-  const { fleet, state, options } = running;
-  const reason = findUnreadyReason(running);
-  const ready = reason === undefined;
-  if (ready !== state.ready) {
-    state.ready = ready;
-    options.logEvent(ready ? entryEvents.ready : entryEvents.notReady, {
-      reason,
-      version: fleet.getVersion()?.version ?? 0,
-      endpoints: fleet.endpoints.listAll().length,
-      sinceStartMs: Math.round(performance.now()),
-    });
-  }
-  return ready;
-}
-
-function findUnreadyReason({ fleet, state }: Running): string | undefined {
-  if (state.stopping) return "entry is stopping";
-  if (!fleet.getVersion()) return "no configuration is in force";
-  return fleet.endpoints.listAll().length === 0
-    ? "no endpoint is listed"
-    : undefined;
-}
-
 async function stopEntry(
   running: Running,
   { peerLink, readiness }: {
