Hand calls of a cut instance to a peer, and keep what it believes of endpoints to itself

Callers of instances that had lost their links to the endpoints got 503 or 504, as these went by their own links only. Such an instance hands each call to a peer over the port of the state of the fleet: one hop, two peers at most and only if the first certainly did not take the call; the call carries its age, a hangup closes the connection, the answer passes on as it arrives. The peer's admission, budget, limits, crash evidence and stream versions apply; it runs 64 such calls at a time at most and takes them only with the key of its digests and from the address of a known instance. While new connections fail everywhere, digests name no endpoint as down and report no crash, and a refused connection is a sign of a crash only once others succeed or no peer reaches the endpoints either. The duty of role changes passes on.

Not done: the daemon.

--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -91,6 +91,8 @@
 export interface CrashWatchOptions {
   /** Whether an endpoint is still listed and takes new work; the end of a leaving one is no crash. */
   readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
+  /** Whether a refused connection shows the end of a process, and not of the instance's own links; resolves once that is known. By default it does. */
+  readonly confirmEnd?: () => Promise<boolean>;
   /** Whether this instance runs the trials of a verdict at the moment; by default it does. */
   readonly mayTry?: MayTry;
   /** Called after each change of the evidence. */
@@ -247,7 +249,15 @@
       else watched.delete(id);
     },
     recordSend: trials.recordSend,
-    recordEnd,
+    recordEnd(endpoint, sign): void {
+      const { confirmEnd } = options;
+      if (sign !== EndSign.ConnectionRefused || !confirmEnd) {
+        return recordEnd(endpoint, sign);
+      }
+      void confirmEnd().then((confirmed) => {
+        if (confirmed) recordEnd(endpoint, sign);
+      });
+    },
     recordSuccess,
     findVerdict(call): TraitVerdict | undefined {
       if (trials.has(call) || !evidence.hasVerdicts()) return undefined;
--- a/packages/core/src/process/fleet/endpoint_tracker.ts
+++ b/packages/core/src/process/fleet/endpoint_tracker.ts
@@ -94,6 +94,8 @@
   readonly listDown: () => DownEndpoints;
   /** Discards the health and cached parts of an endpoint whose process has ended; its open calls still count. */
   readonly forget: (endpoint: EndpointName) => void;
+  /** Ends all suspensions, as the failures were not the endpoints'. */
+  readonly clearFailures: () => void;
   /** Adds a listener that is called whenever the load of this instance's own calls changes. */
   readonly onChange: (listener: () => void) => void;
 }
@@ -176,10 +178,7 @@
       if (entry.suspensions > 0) {
         log(fleetEvents.endpointRestored, { endpoint });
       }
-      entry.failures = 0;
-      entry.suspensions = 0;
-      entry.suspendedUntilMs = -Infinity;
-      entry.downUntilMs = -Infinity;
+      clearEntry(entry);
       return;
     }
     entry.failures += 1;
@@ -325,15 +324,22 @@
       if (!entry) return;
       if (entry.calls === 0) return void own.delete(endpoint);
       entry.cachedParts.clear();
-      entry.failures = 0;
-      entry.suspensions = 0;
-      entry.suspendedUntilMs = -Infinity;
-      entry.downUntilMs = -Infinity;
+      clearEntry(entry);
+    },
+    clearFailures(): void {
+      for (const entry of own.values()) clearEntry(entry);
     },
     onChange: (listener) => void listeners.push(listener),
   };
 }
 
+function clearEntry(entry: OwnEntry): void {
+  entry.failures = 0;
+  entry.suspensions = 0;
+  entry.suspendedUntilMs = -Infinity;
+  entry.downUntilMs = -Infinity;
+}
+
 /** Merges part events into one list of ids without duplicates per endpoint. */
 function collectPartIds(reads: readonly PartEvent[]): PartIdsByEndpoint {
   const idsByEndpoint: Record<EndpointName, string[]> = {};
--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -20,6 +20,8 @@
   readonly isCut: () => boolean;
   /** Whether that may be so, so that what the instance believes of endpoints is not to be passed on. */
   readonly isDoubtful: () => boolean;
+  /** Resolves to whether failures of connections are those of endpoints; false if the instance turns out to be cut off. */
+  readonly confirmFailures: () => Promise<boolean>;
   /** Contacts of this instance, for its digest. */
   readonly collectReports: () => ContactReports;
   /** Applies the contacts of a peer's digest, which was sent `delayMs` ago. */
@@ -40,6 +42,7 @@
 }
 
 const checkIntervalMs = 100;
+const confirmIntervalMs = 50;
 /** Time without any answer after a request was sent, after which links are probed, in ms. */
 const silenceMs = 400;
 /** The same without requests, in ms. */
@@ -52,6 +55,8 @@
 const cutIntervalMs = 500;
 /** Endpoints out of reach that peers reach, for a cut. */
 const minRefuted = 2;
+/** Time after which failures are the endpoints' if no peer reports an answer of them, in ms: more than a heartbeat of instances. */
+const maxDoubtMs = 1_500;
 /** Lateness of a check above which the process did not run, in ms; what it did not hear then tells nothing. */
 const frozenMs = 300;
 
@@ -168,6 +173,10 @@
     }
   }
 
+  function isDoubtful(): boolean {
+    return cutMs !== undefined || failed || unreached.size > 0;
+  }
+
   void run();
   return {
     recordContact,
@@ -178,7 +187,15 @@
       failed = true;
     },
     isCut: () => cutMs !== undefined,
-    isDoubtful: () => cutMs !== undefined || failed || unreached.size > 0,
+    isDoubtful,
+    async confirmFailures(): Promise<boolean> {
+      const endMs = performance.now() + maxDoubtMs;
+      while (isDoubtful() && performance.now() < endMs && !signal.aborted) {
+        if (cutMs !== undefined) return false;
+        await waitFor(confirmIntervalMs, signal);
+      }
+      return cutMs === undefined;
+    },
     collectReports: own.collectReports,
     applyReports(reports, delayMs): void {
       for (const [address, ageMs] of Object.entries(reports)) {
--- a/packages/core/src/process/links/events.ts
+++ b/packages/core/src/process/links/events.ts
@@ -18,4 +18,24 @@
     severity: Severity.Info,
     message: "no endpoint can be connected to; peers are awaited",
   },
+  handedOver: {
+    number: 893,
+    severity: Severity.Info,
+    message: "call is handed over to a peer, as this instance is cut off",
+  },
+  handOverFailed: {
+    number: 894,
+    severity: Severity.Warning,
+    message: "peer did not take or did not answer a call in full",
+  },
+  taken: {
+    number: 895,
+    severity: Severity.Info,
+    message: "call of a peer is taken over",
+  },
+  strangerRefused: {
+    number: 896,
+    severity: Severity.Warning,
+    message: "call is not taken over: it does not come from a known instance",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/request/forwarding/index.ts
+++ b/packages/core/src/request/forwarding/index.ts
@@ -1,5 +1,10 @@
 /** Forwarding of calls to endpoints without changing them: load balancing, retries, prefill placement and streaming. */
-export { buildNotRun, GatewayStatus } from "./ends.ts";
+export {
+  buildEndpointFailed,
+  buildNotRun,
+  buildTimedOut,
+  GatewayStatus,
+} from "./ends.ts";
 export { createEventSplitter, type EventSplitter } from "./event_splitter.ts";
 export { forwardEvents } from "./events.ts";
 export {
@@ -8,7 +13,7 @@
   type Placement,
   type PlacementOptions,
 } from "./place_generation.ts";
-export { answerEnd, runForward } from "./run_forward.ts";
+export { answerEnd, getPath, runForward } from "./run_forward.ts";
 export type {
   AnswerFraming,
   CallerAnswer,
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -173,7 +173,8 @@
   return ms === undefined ? undefined : Math.round(ms);
 }
 
-function getPath(target: string): string {
+/** Path of a call's target, without its query. */
+export function getPath(target: string): string {
   const query = target.indexOf("?");
   return query < 0 ? target : target.slice(0, query);
 }
--- a/packages/node/src/entry/entry_roles.ts
+++ b/packages/node/src/entry/entry_roles.ts
@@ -27,6 +27,8 @@
   readonly topics: StoreTopics;
   readonly logEvent: LogEvent;
   readonly isStopping: () => boolean;
+  /** Whether this instance is cut off from the endpoints. */
+  readonly isCut: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -57,10 +59,10 @@
     isLimited: fleet.limits.isLimited,
     listServices: () => fleet.getVersion()?.configuration.services ?? [],
     isFirst: () =>
-      !options.isStopping() &&
+      !options.isStopping() && !options.isCut() &&
       performance.now() - startedMs > startupDelayMs &&
-      fleet.peers.listLive().every(({ name, stopping }) =>
-        stopping || name > settings.instance
+      fleet.peers.listLive().every(({ name, stopping, cut }) =>
+        stopping || cut || name > settings.instance
       ),
     isListFresh: () => fleet.getListAgeMs() < maxListAgeMs,
     prefillShare: settings.roles.prefill_share,
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -21,8 +21,6 @@
   type FollowedTopic,
   followTopic,
   isTrialOwner,
-  type ListUpdate,
-  type LogEvent,
   type PeerDigest,
   type PeerRegistry,
   type RouteIndex,
@@ -31,10 +29,8 @@
   type StreamOrigins,
 } from "@trefoildoor/core";
 import { createDelayRecorder } from "./delay_recorder.ts";
-import type { Channels } from "./channels.ts";
+import type { FleetViewOptions } from "./fleet_view_options.ts";
 import { estimateNewsDelayMs, type FleetState } from "./peer_link.ts";
-import type { StoreTopics } from "./platform.ts";
-import type { EntrySettings } from "./settings.ts";
 
 /** View of the fleet; it is updated while it is in use. */
 export interface FleetView {
@@ -65,30 +61,6 @@
   "listNext" | "listChanged" | "listAgeMs" | "readsStore" | "storeEra"
 >;
 
-/** Settings, dependencies and listeners of `openFleetView`. */
-export interface FleetViewOptions {
-  readonly settings: EntrySettings;
-  readonly topics: StoreTopics;
-  readonly channels: Channels;
-  readonly onVersion: (version: RouteIndex) => void;
-  /** Called after a change that other instances should receive without delay. */
-  readonly onUpdate: () => void;
-  /** Called after each change of the crash evidence. */
-  readonly onCrashEvidence: () => void;
-  /** Called when the store has come back from an older copy, which may lack what this instance wrote. */
-  readonly onStoreRestored: () => void;
-  /** Called after each read of the list by this instance, with its recent changes. */
-  readonly onListRead: (update: ListUpdate | undefined) => void;
-  /** Called with the transit delay of each accepted digest, in ms. */
-  readonly onDigestDelay: (delayMs: number) => void;
-  /** A stopping instance reads the store itself. */
-  readonly isStopping: () => boolean;
-  /** Asks peers where a stream began. */
-  readonly fetchOrigin: (key: string) => Promise<StreamOrigin | undefined>;
-  readonly logEvent: LogEvent;
-  readonly signal: AbortSignal;
-}
-
 /** Number of reads of the list of endpoints per `leaving_ms`, the time after which a leaving endpoint gets no new work. */
 const readsPerLeavingTime = 3;
 /** Timeout of long polls on topics that change rarely, in ms. */
@@ -130,6 +102,7 @@
   const listUpdates = createListUpdates();
   const crashes = createCrashWatch({
     isAccepting: (endpoint) => endpoints.isAccepting(endpoint),
+    confirmEnd: options.confirmEnd,
     mayTry: (trait, sinceCrashMs) =>
       isTrialOwner(trait, {
         sinceCrashMs,
@@ -379,7 +352,8 @@
       }
       const delayMs = recordDelay(digest);
       const listAgeMs = digest.listAgeMs + delayMs;
-      endpointTracker.applyReports(digest.name, digest);
+      const down = digest.cut ? {} : digest.down;
+      endpointTracker.applyReports(digest.name, { ...digest, down });
       if (digest.origins) origins.applyReports(digest.origins, digest.name);
       limits.applyReports(digest.limits, {
         instance: digest.name,
@@ -387,7 +361,9 @@
         stopping: digest.stopping,
         delayMs,
       });
-      if (digest.crashes) crashes.applyReports(digest.crashes, delayMs);
+      if (digest.crashes && !digest.cut) {
+        crashes.applyReports(digest.crashes, delayMs);
+      }
       applyUpdate(digest, listAgeMs);
       applyUnchanged(digest, listAgeMs);
       if (!fetching && isBehind(digest)) {
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -156,7 +156,7 @@
 }
 
 /** Reads a body; undefined if it is larger than `maxBytes`. */
-async function readBody(
+export async function readBody(
   request: IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
@@ -182,7 +182,8 @@
   response.end(() => request.destroy());
 }
 
-function createAnswer(
+/** Writes the answer to a response; `isLeaving` says whether its connection is to close after it. */
+export function createAnswer(
   response: ServerResponse,
   options: { readonly isLeaving: () => boolean },
 ): CallerAnswer {
--- a/packages/node/src/entry/open_link.ts
+++ b/packages/node/src/entry/open_link.ts
@@ -1,6 +1,7 @@
 /** Connects an entry with the other instances: builds its digests and applies theirs. */
 import { randomBytes } from "node:crypto";
 import type { PeerDigest } from "@trefoildoor/core";
+import { createHandOverServer } from "./accept_hand_over.ts";
 import { entryEvents } from "./events.ts";
 import { openPeerLink, type PeerLink } from "./peer_link.ts";
 import type { Running } from "./running.ts";
@@ -8,10 +9,16 @@
 /** Length of the random id that distinguishes runs of this process in digests, in bytes. */
 const startIdBytes = 4;
 
+/** Length of the key for calls that peers hand over, in bytes. */
+const keyBytes = 12;
+
 /** Opens the link of an entry; rejects if its address cannot be bound. */
 export function openLink(running: Running): Promise<PeerLink> {
-  const { settings, fleet, roles, state, options, shutdown } = running;
+  const { settings, fleet, links, roles, state, options, shutdown } = running;
   const start = randomBytes(startIdBytes).toString("hex");
+  const handOverKey = randomBytes(keyBytes).toString("base64url");
+  const handOverServer = createHandOverServer(running, handOverKey);
+  state.countTakenOver = handOverServer.countOpen;
   let sequence = 0;
   const buildDigest = (): PeerDigest => ({
     start,
@@ -24,11 +31,13 @@
     ...fleet.getListStatus(),
     loads: fleet.endpointTracker.getReports(),
     reads: fleet.endpointTracker.listPartReports(),
-    down: fleet.endpointTracker.listDown(),
+    // What a cut instance believes of endpoints is not true for others.
+    down: links.isDoubtful() ? {} : fleet.endpointTracker.listDown(),
     changing: roles.listOrdered(),
     limits: fleet.limits.collectReports(),
-    contacts: running.links.collectReports(),
-    cut: running.links.isCut() || undefined,
+    contacts: links.collectReports(),
+    cut: links.isCut() || undefined,
+    handOverKey,
     stopping: state.stopping,
   });
   return openPeerLink({
@@ -37,16 +46,18 @@
     peers: fleet.peers,
     channels: running.channels,
     buildDigest,
-    collectCrashes: fleet.crashes.collectReports,
+    collectCrashes: () =>
+      links.isDoubtful() ? undefined : fleet.crashes.collectReports(),
     collectOrigins: fleet.origins.collectReports,
     findOrigin: fleet.origins.findByKey,
     getState: fleet.getState,
+    acceptCall: handOverServer.accept,
     onDigest: (digest) => {
       const { peerLink } = state;
       if (!peerLink) return;
       const delayMs = fleet.acceptDigest(digest, peerLink.fetchState);
       if (delayMs === undefined || digest.cut) return;
-      running.links.applyReports(digest.contacts ?? {}, delayMs);
+      links.applyReports(digest.contacts ?? {}, delayMs);
     },
     onFailure: (error) =>
       options.logEvent(entryEvents.linkFailed, { error: String(error) }),
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -8,7 +8,12 @@
  * adds 0.1 s to the start of a process.
  */
 import { createSocket, type Socket } from "node:dgram";
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import {
   type CrashReports,
   type EndpointSnapshot,
@@ -72,6 +77,11 @@
   /** Answers a peer's question where a stream began. */
   readonly findOrigin: (key: string) => StreamOrigin | undefined;
   readonly getState: () => FleetState;
+  /** Answers a call that a peer hands over; false if the request is none. */
+  readonly acceptCall?: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => boolean;
   readonly onDigest: (digest: PeerDigest) => void;
   readonly onFailure: (error: unknown) => void;
   /** Called with the size of each datagram. */
@@ -238,7 +248,8 @@
 }
 
 async function openStateServer(options: PeerLinkOptions): Promise<Server> {
-  const server = createServer((request, response) => {
+  const server = createServer({ noDelay: true }, (request, response) => {
+    if (options.acceptCall?.(request, response)) return;
     request.resume();
     const content = findContent(request.url ?? "", options);
     if (!content) return void response.writeHead(notFound).end();
--- a/packages/node/src/entry/running.ts
+++ b/packages/node/src/entry/running.ts
@@ -4,6 +4,7 @@
 import type { EntryRoles } from "./entry_roles.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { FrontServer } from "./front_server.ts";
+import type { HandOver } from "./hand_over.ts";
 import type { EntryMetrics } from "./metrics.ts";
 import type { PeerLink } from "./peer_link.ts";
 import type { StoreTopics } from "./platform.ts";
@@ -21,6 +22,7 @@
   readonly roles: EntryRoles;
   readonly metrics: EntryMetrics;
   readonly dependencies: ForwardDependencies;
+  readonly handOver: HandOver;
   readonly shutdown: AbortController;
   readonly state: EntryState;
   /** Registers this instance in the store. */
@@ -33,4 +35,6 @@
   ready: boolean;
   front?: FrontServer;
   peerLink?: PeerLink;
+  /** Number of peers' calls that are not answered yet. */
+  countTakenOver?: () => number;
 }
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -8,6 +8,8 @@
   createSharedBudget,
   fleetEvents,
   type ForwardDependencies,
+  type ForwardEnd,
+  getPath,
   type LogEvent,
   RefusalReason,
   runForward,
@@ -21,6 +23,7 @@
 import { keepCrashRecord } from "./crash_record.ts";
 import { entryEvents } from "./events.ts";
 import { type FleetView, openFleetView } from "./fleet_view.ts";
+import { createHandOver, type HandedCall } from "./hand_over.ts";
 import { openLink } from "./open_link.ts";
 import { openReadiness } from "./readiness.ts";
 import type { EntryState, Running } from "./running.ts";
@@ -140,6 +143,7 @@
     onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
+    confirmEnd: () => links.confirmFailures(),
     fetchOrigin: async (key) => await state.peerLink?.fetchOrigin(key),
     logEvent,
     signal: shutdown.signal,
@@ -150,7 +154,14 @@
         leaving ? [] : [address]
       ),
     probe: channels.probe,
-    onChange: () => state.peerLink?.scheduleDigest(),
+    onChange(cut): void {
+      state.peerLink?.scheduleDigest();
+      // Connections of the time before the cut may never answer again.
+      for (const { address } of fleet.endpoints.listAll()) {
+        channels.closeIdle(address);
+      }
+      if (!cut) fleet.endpointTracker.clearFailures();
+    },
     logEvent,
     signal: shutdown.signal,
   });
@@ -181,6 +192,7 @@
     topics,
     logEvent,
     isStopping: () => state.stopping,
+    isCut: links.isCut,
     signal: shutdown.signal,
   });
   const dependencies = buildDependencies({
@@ -201,6 +213,12 @@
     roles,
     metrics,
     dependencies,
+    handOver: createHandOver({
+      settings,
+      fleet,
+      channels,
+      options: { ...options, logEvent },
+    }),
     shutdown,
     state,
     register,
@@ -263,10 +281,8 @@
     });
     return answer.start(badRequest, [], { length: 0 }), answer.end();
   }
-  const end = await runForward(call, version, {
-    answer,
-    parts: running.dependencies,
-  });
+  const end = await runAtPeer(running, { request, call, answer }) ??
+    await runForward(call, version, { answer, parts: running.dependencies });
   running.metrics.recordCall({
     route: end.route ?? "none",
     end,
@@ -274,6 +290,17 @@
   });
 }
 
+/** Hands the call to a peer if this instance is cut off from the endpoints; undefined if it is to run here. */
+async function runAtPeer(
+  { links, fleet, handOver }: Running,
+  handed: Omit<HandedCall, "route">,
+): Promise<ForwardEnd | undefined> {
+  if (!links.isCut()) return undefined;
+  const { call } = handed;
+  const route = fleet.getVersion()?.findRoute(call.host, getPath(call.target));
+  return route && await handOver.run({ ...handed, route });
+}
+
 async function stopEntry(
   running: Running,
   { peerLink, readiness }: {
@@ -293,7 +320,7 @@
   await waitFor(settings.stop.notice_ms);
   front?.stopAccepting();
   while (
-    (front?.countOpen() ?? 0) > 0 &&
+    (front?.countOpen() ?? 0) + (state.countTakenOver?.() ?? 0) > 0 &&
     performance.now() - stopRequestedMs < drainTimeoutMs
   ) await waitFor(drainCheckIntervalMs);
   const cut = front?.countOpen();
