--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -25,7 +25,6 @@
   type PeerRegistry,
   type RouteIndex,
   type RoutingConfiguration,
-  type StreamOrigin,
   type StreamOrigins,
 } from "@trefoildoor/core";
 import { createDelayRecorder } from "./delay_recorder.ts";
