Take a server for crashed only if no peer reaches it since

A refused connection counts after 500 ms without a peer's contact with the endpoint since; a peer's report is dropped where the process has answered since on an older connection.

--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -92,7 +92,7 @@
   /** Whether an endpoint is still listed and takes new work; the end of a leaving one is no crash. */
   readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
   /** Whether a refused connection shows the end of a process, and not of the instance's own links; resolves once that is known. By default it does. */
-  readonly confirmEnd?: () => Promise<boolean>;
+  readonly confirmEnd?: (endpoint: ListedEndpoint) => Promise<boolean>;
   /** Whether this instance runs the trials of a verdict at the moment; by default it does. */
   readonly mayTry?: MayTry;
   /** Called after each change of the evidence. */
@@ -128,6 +128,8 @@
   });
   const news = createCrashNews(evidence);
   const watched = new Map<ProcessId, WatchedProcess>();
+  /** The newest answer of each process. */
+  const answers = new Map<ProcessId, AnswerTimes>();
   /** Processes that are known to have ended. */
   const ended = new Map<ProcessId, EndSign>();
   const trials = createTrials({ mayTry: options.mayTry, logEvent: log });
@@ -177,6 +179,13 @@
     });
   }
 
+  /** Whether the process has answered on an older connection since a reported crash: the reporter has lost its link only. */
+  function isAlive(id: ProcessId, crashMs: number): boolean {
+    const answer = answers.get(id);
+    return answer !== undefined && answer.sentMs > crashMs &&
+      answer.connectedMs < crashMs;
+  }
+
   /** Logs which lost calls an answer explains. */
   function logExplained(
     endpoint: ListedEndpoint,
@@ -232,8 +241,8 @@
       setBounded(watched, { key: id, value: { endpoint, calls } });
     },
     recordAnswer(endpoint, { sentMs, connectedMs }): void {
-      if (watched.size === 0) return;
       const id = getId(endpoint);
+      setBounded(answers, { key: id, value: { sentMs, connectedMs } });
       const process = watched.get(id);
       if (!process) return;
       const settled = process.calls.filter(({ endedMs }) =>
@@ -254,7 +263,7 @@
       if (sign !== EndSign.ConnectionRefused || !confirmEnd) {
         return recordEnd(endpoint, sign);
       }
-      void confirmEnd().then((confirmed) => {
+      void confirmEnd(endpoint).then((confirmed) => {
         if (confirmed) recordEnd(endpoint, sign);
       });
     },
@@ -282,8 +291,11 @@
         evidence.addSuccess(trait, ageMs + delayMs);
       }
       for (const crash of crashes) {
-        evidence.addCrash({ ...crash, ageMs: crash.ageMs + delayMs });
-        const process = watched.get(getProcessId(crash));
+        const ageMs = crash.ageMs + delayMs;
+        const id = getProcessId(crash);
+        if (isAlive(id, performance.now() - ageMs)) continue;
+        evidence.addCrash({ ...crash, ageMs });
+        const process = watched.get(id);
         if (process) recordEnd(process.endpoint, EndSign.Peer);
       }
     },
--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -20,8 +20,8 @@
   readonly isCut: () => boolean;
   /** Whether that may be so, so that what the instance believes of endpoints is not to be passed on. */
   readonly isDoubtful: () => boolean;
-  /** Resolves to whether failures of connections are those of endpoints; false if the instance turns out to be cut off. */
-  readonly confirmFailures: () => Promise<boolean>;
+  /** Resolves to whether a refused connection shows that the endpoint has ended; false if a peer reaches it since, or if the instance is cut off. */
+  readonly confirmEnd: (address: string) => Promise<boolean>;
   /** Contacts of this instance, for its digest. */
   readonly collectReports: () => ContactReports;
   /** Applies the contacts of a peer's digest, which was sent `delayMs` ago. */
@@ -43,6 +43,8 @@
 
 const checkIntervalMs = 100;
 const confirmIntervalMs = 50;
+/** Time within which busy peers report an answer of an endpoint, in ms. */
+const confirmMs = 500;
 /** Time without any answer after a request was sent, after which links are probed, in ms. */
 const silenceMs = 400;
 /** The same without requests, in ms. */
@@ -188,13 +190,15 @@
     },
     isCut: () => cutMs !== undefined,
     isDoubtful,
-    async confirmFailures(): Promise<boolean> {
-      const endMs = performance.now() + maxDoubtMs;
-      while (isDoubtful() && performance.now() < endMs && !signal.aborted) {
-        if (cutMs !== undefined) return false;
+    async confirmEnd(address): Promise<boolean> {
+      const sinceMs = performance.now();
+      while (!signal.aborted) {
+        if (cutMs !== undefined || peers.getMs(address) > sinceMs) return false;
+        const waitedMs = performance.now() - sinceMs;
+        if (waitedMs >= (isDoubtful() ? maxDoubtMs : confirmMs)) return true;
         await waitFor(confirmIntervalMs, signal);
       }
-      return cutMs === undefined;
+      return false;
     },
     collectReports: own.collectReports,
     applyReports(reports, delayMs): void {
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -101,7 +101,8 @@
   const listUpdates = createListUpdates();
   const crashes = createCrashWatch({
     isAccepting: (endpoint) => endpoints.isAccepting(endpoint),
-    confirmEnd: options.confirmEnd,
+    confirmEnd: async ({ address }) =>
+      await options.confirmEnd?.(address) ?? true,
     mayTry: (trait, sinceCrashMs) =>
       isTrialOwner(trait, {
         sinceCrashMs,
--- a/packages/node/src/entry/fleet_view_options.ts
+++ b/packages/node/src/entry/fleet_view_options.ts
@@ -27,8 +27,8 @@
   readonly onDigestDelay: (delayMs: number) => void;
   /** A stopping instance reads the store itself. */
   readonly isStopping: () => boolean;
-  /** Whether a refused connection shows the end of an endpoint's process. */
-  readonly confirmEnd?: () => Promise<boolean>;
+  /** Whether a refused connection to an address shows the end of the endpoint's process. */
+  readonly confirmEnd?: (address: string) => Promise<boolean>;
   /** Asks peers where a stream began. */
   readonly fetchOrigin: (key: string) => Promise<StreamOrigin | undefined>;
   readonly logEvent: LogEvent;
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -143,7 +143,7 @@
     onListRead: (update) => state.peerLink?.sendUpdate(update),
     onDigestDelay: metrics.recordDigestDelay,
     isStopping: () => state.stopping,
-    confirmEnd: () => links.confirmFailures(),
+    confirmEnd: (address) => links.confirmEnd(address),
     fetchOrigin: async (key) => await state.peerLink?.fetchOrigin(key),
     logEvent,
     signal: shutdown.signal,
