Test when an instance takes itself for cut off, and when not

15 scenarios on a paused clock: connections that hang or are refused, with and without requests, open ones that live on, the end of the cut; one silent or refusing endpoint, services that are down for all, peers that reach one endpoint only, a process that did not run; ends that peers contradict; bounds of digests.

--- /dev/null
+++ b/packages/core/src/process/links/links.feature
@@ -0,0 +1,57 @@
+Feature: An instance tells whether it is cut off from endpoints that its peers reach
+
+  Background:
+    Given links to the endpoints "e1, e2, e3, e4, e5"
+
+  Scenario Outline: A cut is noticed and its end as well
+    Given peers reach "e1, e2, e3, e4, e5"
+    When connections to "e1, e2, e3, e4, e5" <fail>, and requests <come> for 2500 ms
+    Then the instance is cut off
+    When connections to "e1, e2, e3, e4, e5" are opened again for 1500 ms
+    Then the instance is not cut off
+
+    Examples:
+      | fail        | come          |
+      | hang        | come          |
+      | hang        | do not come   |
+      | are refused | come          |
+      | are refused | do not come   |
+
+  Scenario: Open connections that live on hide no cut
+    Given peers reach "e1, e2, e3, e4, e5"
+    When connections to "e1, e2, e3, e4, e5" are refused, and requests are answered on open ones for 2500 ms
+    Then the instance is cut off
+
+  Scenario Outline: What is no cut
+    Given peers reach "<peers>"
+    When connections to "<failing>" <fail>, and requests <come> for 6000 ms
+    Then the instance is not cut off
+
+    Examples:
+      | peers              | failing            | fail        | come        |
+      | e1, e2, e3, e4, e5 | e1                 | hang        | come        |
+      | e1, e2, e3, e4, e5 | e1                 | are refused | come        |
+      | e3, e4, e5         | e1, e2             | are refused | come        |
+      |                    | e1, e2, e3, e4, e5 | are refused | come        |
+      | e1                 | e1, e2, e3, e4, e5 | hang        | come        |
+      |                    | e1, e2, e3, e4, e5 | hang        | do not come |
+
+  Scenario: An instance that was frozen is not cut off
+    Given peers reach "e1, e2, e3, e4, e5"
+    When the process does not run for 5000 ms and its connections are as before
+    Then the instance is not cut off
+
+  Scenario Outline: A refused connection is the endpoint's end unless a peer reaches it since
+    Given peers reach "<peers>"
+    When connections to "e1" are refused, and requests come for 700 ms
+    Then the end of "e1" is <confirmed> 700 ms later
+
+    Examples:
+      | peers              | confirmed     |
+      | e2, e3, e4, e5     | confirmed     |
+      | e1, e2, e3, e4, e5 | not confirmed |
+
+  Scenario: Contacts in digests are few and recent
+    When 2000 endpoints answer
+    Then a digest reports 8 contacts
+    And none 2500 ms later
--- /dev/null
+++ b/packages/core/src/process/links/links.steps.ts
@@ -0,0 +1,182 @@
+/** Steps of `links.feature`. */
+import { strict as assert } from "node:assert";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import { type EndpointLinks, watchEndpointLinks } from "./index.ts";
+
+/** State of one scenario. */
+interface LinksWorld {
+  linksClock?: PausedClock;
+  links: EndpointLinks;
+  endpoints: readonly string[];
+  peersReach: readonly string[];
+  /** How connections to endpoints fail. */
+  failing: Map<string, string>;
+  stop: AbortController;
+}
+
+const stepMs = 50;
+const requestEveryMs = 250;
+const digestEveryMs = 100;
+const contactAgeMs = 30;
+
+After(function (this: LinksWorld): void {
+  this.stop?.abort();
+  this.linksClock?.uninstall();
+});
+
+function splitNames(text: string): readonly string[] {
+  return text.split(", ").filter((name) => name !== "");
+}
+
+Given("links to the endpoints {string}", function (
+  this: LinksWorld,
+  names: string,
+): void {
+  this.linksClock = pauseClock();
+  this.endpoints = splitNames(names);
+  this.peersReach = [];
+  this.failing = new Map();
+  this.stop = new AbortController();
+  this.links = watchEndpointLinks({
+    listAddresses: () => this.endpoints,
+    probe: (address, timeoutMs) => openConnection(this, address, timeoutMs),
+    random: () => 0.5,
+    logEvent: () => undefined,
+    signal: this.stop.signal,
+  });
+});
+
+async function openConnection(
+  { failing }: LinksWorld,
+  address: string,
+  timeoutMs: number,
+): Promise<boolean> {
+  const how = failing.get(address);
+  if (how === "hang") {
+    await new Promise((resolve) => setTimeout(resolve, timeoutMs));
+  }
+  return how === undefined;
+}
+
+Given("peers reach {string}", function (
+  this: LinksWorld,
+  names: string,
+): void {
+  this.peersReach = splitNames(names);
+});
+
+/** Lets time pass with digests of peers and, if `requests` says so, calls to the endpoints in turn. */
+async function passTime(
+  world: LinksWorld,
+  ms: number,
+  { requests }: { readonly requests: string },
+): Promise<void> {
+  for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
+    if (passedMs % digestEveryMs === 0) {
+      const reports = world.peersReach.map((name) => [name, contactAgeMs]);
+      world.links.applyReports(Object.fromEntries(reports), 0);
+    }
+    if (passedMs % requestEveryMs === 0) sendRequest(world, passedMs, requests);
+    await world.linksClock?.tickAsync(stepMs);
+  }
+}
+
+function sendRequest(
+  { endpoints, failing, links }: LinksWorld,
+  passedMs: number,
+  requests: string,
+): void {
+  const index = Math.floor(passedMs / requestEveryMs) % endpoints.length;
+  const address = endpoints[index] ?? "";
+  if (requests === "do not come") return;
+  if (requests === "are answered on open ones") {
+    links.recordSent(address);
+    links.recordContact(address);
+    links.recordFailure(address);
+    return;
+  }
+  const how = failing.get(address);
+  if (how === "are refused") return links.recordFailure(address);
+  links.recordSent(address);
+  if (how === undefined) links.recordContact(address);
+}
+
+When(
+  /^connections to "(.*)" (hang|are refused), and requests (come|do not come|are answered on open ones) for (\d+) ms$/,
+  async function (
+    this: LinksWorld,
+    names: string,
+    how: string,
+    requests: string,
+    ms: string,
+  ): Promise<void> {
+    for (const name of splitNames(names)) this.failing.set(name, how);
+    await passTime(this, Number(ms), { requests });
+  },
+);
+
+When(
+  "connections to {string} are opened again for {int} ms",
+  async function (this: LinksWorld, names: string, ms: number): Promise<void> {
+    for (const name of splitNames(names)) this.failing.delete(name);
+    await passTime(this, ms, { requests: "come" });
+  },
+);
+
+When(
+  "the process does not run for {int} ms and its connections are as before",
+  async function (this: LinksWorld, ms: number): Promise<void> {
+    await passTime(this, 1_000, { requests: "come" });
+    this.links.recordSent("e1");
+    // The clock goes on while no timer fires and nothing is read.
+    this.linksClock?.jump(ms);
+    await passTime(this, 1_000, { requests: "come" });
+  },
+);
+
+Then(/^the instance is (not )?cut off$/, function (
+  this: LinksWorld,
+  not: string | null,
+): void {
+  assert.equal(this.links.isCut(), not === null);
+});
+
+Then(
+  /^the end of "(.+)" is (not )?confirmed (\d+) ms later$/,
+  async function (
+    this: LinksWorld,
+    name: string,
+    not: string | null,
+    ms: string,
+  ): Promise<void> {
+    let confirmed: boolean | undefined;
+    void this.links.confirmEnd(name).then((result) => confirmed = result);
+    await passTime(this, Number(ms), { requests: "come" });
+    assert.equal(confirmed, not === null);
+  },
+);
+
+When("{int} endpoints answer", function (
+  this: LinksWorld,
+  count: number,
+): void {
+  for (let each = 0; each < count; each++) {
+    this.links.recordContact(`10.0.0.1:${each}`);
+  }
+});
+
+Then("a digest reports {int} contacts", function (
+  this: LinksWorld,
+  count: number,
+): void {
+  assert.equal(Object.keys(this.links.collectReports()).length, count);
+});
+
+Then("none {int} ms later", async function (
+  this: LinksWorld,
+  ms: number,
+): Promise<void> {
+  await this.linksClock?.tickAsync(ms);
+  assert.deepEqual(this.links.collectReports(), {});
+});
