Probe links less, and count endpoints only

What the store and peers did on connections counted as contacts and failures of endpoints, so a store that was down led to probes of endpoints, and digests reported peers. Only endpoints count now. A failure leads to probes only if no connection was opened in the last second, and the first probe is one; three follow if it fails. A new scenario: other processes that answer are no contacts.

--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -10,8 +10,10 @@
 
 /** Links between one instance and the endpoints. */
 export interface EndpointLinks {
-  /** Records that an endpoint answered or accepted a connection. */
+  /** Records bytes of an answer. Addresses that are no endpoint's are ignored, here and below. */
   readonly recordContact: (address: string) => void;
+  /** Records that a connection was opened. */
+  readonly recordConnected: (address: string) => void;
   /** Records that a request was sent. */
   readonly recordSent: (address: string) => void;
   /** Records that a connection could not be opened or broke. */
@@ -46,13 +48,15 @@
 /** Time within which busy peers report an answer of an endpoint, in ms. */
 const confirmMs = 500;
 /** Time without any answer after a request was sent, after which links are probed, in ms. */
-const silenceMs = 400;
+const silenceMs = 600;
 /** The same without requests, in ms. */
 const idleMs = 1_500;
-/** Timeout of a probe, in ms; round trips are below 20 ms, and a lost packet is sent again after 200 ms. */
-const probeTimeoutMs = 400;
+/** Timeout of a probe, in ms; round trips are below 20 ms. */
+const probeTimeoutMs = 300;
+/** Probes of a round, if those of the last one failed; otherwise there is one. */
 const probesPerRound = 3;
-const maxProbesPerRound = 4;
+/** Time for which an opened connection shows that links are there, in ms; failures in it need no probes. */
+const connectedMs = 1_000;
 /** Pause between two rounds of probes of a cut instance, in ms. */
 const cutIntervalMs = 500;
 /** Endpoints out of reach that peers reach, for a cut. */
@@ -73,16 +77,27 @@
   /** When the oldest request without an answer of any endpoint after it was sent. */
   let unansweredMs = Infinity;
   let failed = false;
+  /** When a connection was last opened, by a call or a probe. */
+  let openedMs = -Infinity;
+  /** Addresses of the endpoints, as of the last check. */
+  let known: ReadonlySet<string> = new Set();
   let cutMs: number | undefined;
   /** Endpoints that could not be connected to, with the start of the first failed probe, since a connection succeeded. */
   const unreached = new Map<string, number>();
   let startedMs = performance.now();
 
   function recordContact(address: string): void {
+    if (!known.has(address)) return;
     own.record(address);
     unansweredMs = Infinity;
   }
 
+  function recordConnected(address: string): void {
+    if (!known.has(address)) return;
+    recordContact(address);
+    openedMs = performance.now();
+  }
+
   /** Addresses to probe: those that peers reached last, then others at random. */
   function chooseAddresses(): readonly string[] {
     return listAddresses()
@@ -96,7 +111,7 @@
           ? right.draw - left.draw
           : right.rank - left.rank
       )
-      .slice(0, cutMs === undefined ? probesPerRound : maxProbesPerRound)
+      .slice(0, unreached.size === 0 ? 1 : probesPerRound)
       .map(({ address }) => address);
   }
 
@@ -105,7 +120,7 @@
     const reached = await Promise.all(
       chooseAddresses().map(async (address) => {
         const success = await probe(address, probeTimeoutMs);
-        if (success) recordContact(address);
+        if (success) recordConnected(address);
         else if (!unreached.has(address)) unreached.set(address, roundMs);
         return success;
       }),
@@ -137,25 +152,29 @@
   }
 
   function needsProbes(nowMs: number): boolean {
-    if (failed || unreached.size > 0 || cutMs !== undefined) return true;
+    if (unreached.size > 0 || cutMs !== undefined) return true;
+    if (failed && nowMs - openedMs > connectedMs) return true;
     if (nowMs - unansweredMs > silenceMs) return true;
     const quietMs = Math.max(own.getNewestMs(), startedMs);
     return nowMs - quietMs > idleMs && peers.getNewestMs() > quietMs;
   }
 
   async function check(): Promise<void> {
-    if (listAddresses().length === 0) return;
-    if (!needsProbes(performance.now())) return;
+    if (known.size === 0) return;
+    if (!needsProbes(performance.now())) {
+      failed = false;
+      return;
+    }
     const doubted = unreached.size > 0;
-    failed = false;
     await runProbes();
+    failed = false;
     if (unreached.size > 0 && !doubted) {
       log(linkEvents.doubted, {
         unreached: [...unreached.keys()].join(" "),
         contactAgeMs: getAgeMs(own.getNewestMs(), performance.now()),
       });
     }
-    const needed = Math.min(minRefuted, listAddresses().length);
+    const needed = Math.min(minRefuted, known.size);
     if (unreached.size > 0 && listRefuted().length >= needed) setCut(true);
   }
 
@@ -165,6 +184,7 @@
       const beforeMs = performance.now();
       await waitFor(pauseMs, signal);
       if (signal.aborted) return;
+      known = new Set(listAddresses());
       if (performance.now() - beforeMs - pauseMs > frozenMs) {
         unansweredMs = Infinity;
         unreached.clear();
@@ -182,11 +202,13 @@
   void run();
   return {
     recordContact,
-    recordSent(): void {
+    recordConnected,
+    recordSent(address): void {
+      if (!known.has(address)) return;
       unansweredMs = Math.min(unansweredMs, performance.now());
     },
-    recordFailure(): void {
-      failed = true;
+    recordFailure(address): void {
+      if (known.has(address)) failed = true;
     },
     isCut: () => cutMs !== undefined,
     isDoubtful,
--- a/packages/core/src/process/links/links.feature
+++ b/packages/core/src/process/links/links.feature
@@ -52,6 +52,8 @@
       | e1, e2, e3, e4, e5 | not confirmed |
 
   Scenario: Contacts in digests are few and recent
+    When 20 other processes answer
+    Then a digest reports 0 contacts
     When 2000 endpoints answer
     Then a digest reports 8 contacts
     And none 2500 ms later
--- a/packages/core/src/process/links/links.steps.ts
+++ b/packages/core/src/process/links/links.steps.ts
@@ -19,6 +19,8 @@
 const requestEveryMs = 250;
 const digestEveryMs = 100;
 const contactAgeMs = 30;
+/** Time within which changes of the endpoints are known, in ms. */
+const checkMs = 150;
 
 After(function (this: LinksWorld): void {
   this.stop?.abort();
@@ -163,14 +165,22 @@
   },
 );
 
-When("{int} endpoints answer", function (
-  this: LinksWorld,
-  count: number,
-): void {
-  for (let each = 0; each < count; each++) {
-    this.links.recordContact(`10.0.0.1:${each}`);
-  }
-});
+When(
+  /^(\d+) (endpoints|other processes) answer$/,
+  async function (
+    this: LinksWorld,
+    count: string,
+    who: string,
+  ): Promise<void> {
+    const addresses = Array.from(
+      { length: Number(count) },
+      (_, each) => `10.0.0.1:${each}`,
+    );
+    if (who === "endpoints") this.endpoints = addresses;
+    await this.linksClock?.tickAsync(checkMs);
+    for (const address of addresses) this.links.recordContact(address);
+  },
+);
 
 Then("a digest reports {int} contacts", function (
   this: LinksWorld,
--- a/packages/node/src/entry/channel_sockets.ts
+++ b/packages/node/src/entry/channel_sockets.ts
@@ -3,8 +3,9 @@
 
 /** What happens on connections, by address. */
 export interface ChannelObserver {
-  /** Bytes of an answer arrived, or a connection was opened. */
+  /** Bytes of an answer arrived. */
   readonly onContact: (address: string) => void;
+  readonly onConnected: (address: string) => void;
   readonly onSent: (address: string) => void;
   /** A connection could not be opened or broke. */
   readonly onFailure: (address: string) => void;
@@ -93,7 +94,7 @@
     socket.setKeepAlive(true, keepAliveProbeDelayMs);
     channel.socket = socket;
     channel.connectedMs = performance.now();
-    options.observer?.onContact(channel.address);
+    options.observer?.onConnected(channel.address);
     callback(null, socket);
   });
 }
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -100,6 +100,7 @@
     connect: options.connect,
     observer: {
       onContact: (address) => links.recordContact(address),
+      onConnected: (address) => links.recordConnected(address),
       onSent: (address) => links.recordSent(address),
       onFailure: (address) => links.recordFailure(address),
     },
