Let no new process at the address of an ended one hide the end, and prefer peers heard last

A refused connection did not count as the end of a process if a peer was answered at the address since; a server that is back within half a second under another name answers there too, so its crash was known only by the list, some 3 s later. Contacts say how old their connection is, and only one older than the refusal contradicts it. The new scenario fails without that by construction: a peer's contact at the address counted whatever its connection. Of the live peers, the three tenths heard longest ago get no handed-over calls, as they may be frozen.

--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -10,8 +10,8 @@
 
 /** Links between one instance and the endpoints. */
 export interface EndpointLinks {
-  /** Records bytes of an answer. Addresses that are no endpoint's are ignored, here and below. */
-  readonly recordContact: (address: string) => void;
+  /** Records bytes of an answer, on a connection opened at `connectedMs` of `performance.now()`. Addresses that are no endpoint's are ignored, here and below. */
+  readonly recordContact: (address: string, connectedMs: number) => void;
   /** Records that a connection was opened. */
   readonly recordConnected: (address: string) => void;
   /** Records that a request was sent. */
@@ -22,7 +22,7 @@
   readonly isCut: () => boolean;
   /** Whether that may be so, so that what the instance believes of endpoints is not to be passed on. */
   readonly isDoubtful: () => boolean;
-  /** Resolves to whether a refused connection shows that the endpoint has ended; false if a peer reaches it since, or if the instance is cut off. */
+  /** Resolves to whether a refused connection shows that the endpoint has ended; false if a peer is answered since on an older connection, or if the instance is cut off. */
   readonly confirmEnd: (address: string) => Promise<boolean>;
   /** Contacts of this instance, for its digest. */
   readonly collectReports: () => ContactReports;
@@ -86,16 +86,16 @@
   const unreached = new Map<string, number>();
   let startedMs = performance.now();
 
-  function recordContact(address: string): void {
+  function recordContact(address: string, connectedMs: number): void {
     if (!known.has(address)) return;
-    own.record(address);
+    own.record(address, { atMs: performance.now(), connectedMs });
     unansweredMs = Infinity;
   }
 
   function recordConnected(address: string): void {
     if (!known.has(address)) return;
-    recordContact(address);
     openedMs = performance.now();
+    recordContact(address, openedMs);
   }
 
   /** Addresses to probe: those that peers reached last, then others at random. */
@@ -215,7 +215,9 @@
     async confirmEnd(address): Promise<boolean> {
       const sinceMs = performance.now();
       while (!signal.aborted) {
-        if (cutMs !== undefined || peers.getMs(address) > sinceMs) return false;
+        if (cutMs !== undefined || peers.isAlive(address, sinceMs)) {
+          return false;
+        }
         const waitedMs = performance.now() - sinceMs;
         if (waitedMs >= (isDoubtful() ? maxDoubtMs : confirmMs)) return true;
         await waitFor(confirmIntervalMs, signal);
@@ -224,8 +226,13 @@
     },
     collectReports: own.collectReports,
     applyReports(reports, delayMs): void {
-      for (const [address, ageMs] of Object.entries(reports)) {
-        peers.record(address, ageMs + delayMs);
+      const sentMs = performance.now() - delayMs;
+      for (const [address, contact] of Object.entries(reports)) {
+        const [ageMs, connectionAgeMs] = contact;
+        peers.record(address, {
+          atMs: sentMs - ageMs,
+          connectedMs: sentMs - connectionAgeMs,
+        });
       }
     },
   };
--- a/packages/core/src/process/links/links.feature
+++ b/packages/core/src/process/links/links.feature
@@ -51,6 +51,11 @@
       | e2, e3, e4, e5     | confirmed     |
       | e1, e2, e3, e4, e5 | not confirmed |
 
+  Scenario: A process that is back at the address of an ended one hides no end
+    Given peers reach "e1, e2, e3, e4, e5"
+    When connections to "e1" are refused, and requests come for 700 ms
+    Then the end of "e1" is confirmed 700 ms later, as peers reach a new process
+
   Scenario: Contacts in digests are few and recent
     When 20 other processes answer
     Then a digest reports 0 contacts
--- a/packages/core/src/process/links/links.steps.ts
+++ b/packages/core/src/process/links/links.steps.ts
@@ -10,6 +10,8 @@
   links: EndpointLinks;
   endpoints: readonly string[];
   peersReach: readonly string[];
+  /** When the connections of the peers were opened. */
+  connectedMs: number;
   /** How connections to endpoints fail. */
   failing: Map<string, string>;
   stop: AbortController;
@@ -38,6 +40,7 @@
   this.linksClock = pauseClock();
   this.endpoints = splitNames(names);
   this.peersReach = [];
+  this.connectedMs = performance.now();
   this.failing = new Map();
   this.stop = new AbortController();
   this.links = watchEndpointLinks({
@@ -78,7 +81,11 @@
 ): Promise<void> {
   for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
     if (passedMs % digestEveryMs === 0) {
-      const reports = world.peersReach.map((name) => [name, contactAgeMs]);
+      const connectionAgeMs = performance.now() - world.connectedMs;
+      const reports = world.peersReach.map((name) => [
+        name,
+        [contactAgeMs, Math.max(connectionAgeMs, 0)],
+      ]);
       world.links.applyReports(Object.fromEntries(reports), 0);
     }
     if (passedMs % requestEveryMs === 0) {
@@ -100,14 +107,14 @@
   if (requests === "do not come") return;
   if (requests === "are answered on open ones") {
     links.recordSent(address);
-    links.recordContact(address);
+    links.recordContact(address, 0);
     links.recordFailure(address);
     return;
   }
   const how = failing.get(address);
   if (how === "are refused") return links.recordFailure(address);
   links.recordSent(address);
-  if (how === undefined) links.recordContact(address);
+  if (how === undefined) links.recordContact(address, 0);
 }
 
 When(
@@ -151,14 +158,16 @@
 });
 
 Then(
-  /^the end of "(.+)" is (not )?confirmed (\d+) ms later$/,
+  /^the end of "(.+)" is (not )?confirmed (\d+) ms later(, as peers reach a new process)?$/,
   async function (
     this: LinksWorld,
     name: string,
     not: string | null,
     ms: string,
+    why: string | null,
   ): Promise<void> {
     let confirmed: boolean | undefined;
+    if (why !== null) this.connectedMs = Infinity;
     void this.links.confirmEnd(name).then((result) => confirmed = result);
     await passTime(this, Number(ms), { requests: "come" });
     assert.equal(confirmed, not === null);
@@ -178,7 +187,7 @@
     );
     if (who === "endpoints") this.endpoints = addresses;
     await this.linksClock?.tickAsync(checkMs);
-    for (const address of addresses) this.links.recordContact(address);
+    for (const address of addresses) this.links.recordContact(address, 0);
   },
 );
 
--- a/packages/node/src/entry/channel_sockets.ts
+++ b/packages/node/src/entry/channel_sockets.ts
@@ -3,8 +3,8 @@
 
 /** What happens on connections, by address. */
 export interface ChannelObserver {
-  /** Bytes of an answer arrived. */
-  readonly onContact: (address: string) => void;
+  /** Bytes of an answer arrived, on a connection opened at `connectedMs` of `performance.now()`. */
+  readonly onContact: (address: string, connectedMs: number) => void;
   readonly onConnected: (address: string) => void;
   readonly onSent: (address: string) => void;
   /** A connection could not be opened or broke. */
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -236,7 +236,7 @@
         options.observer?.onSent(channel.address);
       },
       onResponseStart(started, status): void {
-        options.observer?.onContact(channel.address);
+        options.observer?.onContact(channel.address, channel.connectedMs);
         if (ended) return;
         if (status < 200) return;
         headReceived = true;
@@ -252,7 +252,7 @@
         });
       },
       onResponseData(_started, chunk): void {
-        options.observer?.onContact(channel.address);
+        options.observer?.onContact(channel.address, channel.connectedMs);
         body.add(chunk);
       },
       onResponseEnd(): void {
--- a/packages/node/src/entry/digests.test.ts
+++ b/packages/node/src/entry/digests.test.ts
@@ -16,6 +16,7 @@
 /** Contacts of a digest, and their greatest age, in ms. */
 const reportedContacts = 8;
 const maxContactAgeMs = 2_000;
+const maxConnectionAgeMs = 60_000;
 
 function drawEndpoint(): string {
   return `i-${String(Math.floor(Math.random() * allEndpoints)).repeat(5)}`;
@@ -52,7 +53,10 @@
     contacts: Object.fromEntries(
       Array.from({ length: reportedContacts }, (_, each) => [
         `10.0.0.${Math.floor(Math.random() * allEndpoints)}:${8_000 + each}`,
-        Math.floor(Math.random() * maxContactAgeMs),
+        [
+          Math.floor(Math.random() * maxContactAgeMs),
+          Math.floor(Math.random() * maxConnectionAgeMs),
+        ] as const,
       ]),
     ),
     changing: [],
--- a/packages/node/src/entry/hand_over.ts
+++ b/packages/node/src/entry/hand_over.ts
@@ -43,6 +43,8 @@
 }
 
 const maxPeers = 2;
+/** Share of the live peers, those heard longest ago, that get no calls. */
+const unheardShare = 0.3;
 /** Time that the answer of a peer may come later than the call's deadline, in ms: the peer keeps to the deadline itself. */
 const answerMarginMs = 50;
 const firstServerError = 500;
@@ -58,13 +60,14 @@
   /** Calls that each peer is running for this instance. */
   const open = new Map<string, number>();
 
-  /** Of two eligible peers at random the one with fewer calls from here. */
+  /** Of two eligible peers at random the one with fewer calls from here; those heard last come into question, as others may be frozen. */
   function choosePeer(tried: ReadonlySet<string>): PeerDigest | undefined {
     const version = fleet.getVersion()?.version ?? 0;
-    const eligible = fleet.peers.listLive().filter((peer) =>
+    const live = fleet.peers.listLive().filter((peer) =>
       !peer.stopping && !peer.cut && peer.handOverKey !== undefined &&
       peer.version >= version && !tried.has(peer.name)
     );
+    const eligible = live.slice(Math.floor(live.length * unheardShare));
     const drawn = Array.from(
       { length: 2 },
       () => eligible[Math.floor(Math.random() * eligible.length)],
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -99,7 +99,8 @@
   const channels = createChannels({
     connect: options.connect,
     observer: {
-      onContact: (address) => links.recordContact(address),
+      onContact: (address, connectedMs) =>
+        links.recordContact(address, connectedMs),
       onConnected: (address) => links.recordConnected(address),
       onSent: (address) => links.recordSent(address),
       onFailure: (address) => links.recordFailure(address),
