Let handed-over calls have headers as long as those of callers

The port of the state of the fleet had Node's bound of 16 KB, so a call with longer headers, which the port for callers takes, would be answered 431 by the peer. The bound is that of the callers' port and 1 KB for the link.

--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -57,7 +57,7 @@
   idleTimeoutMs: 60_000,
 };
 /** Upper bound of request headers, in bytes: Node reads it at start only, so a lower configured limit is checked for each request. */
-const maxHeaderSizeBytes = 65_536;
+export const maxHeaderSizeBytes = 65_536;
 
 /** Starts listening; resolves once connections are accepted, and rejects if the address cannot be bound. */
 export async function openFrontServer(
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -29,7 +29,7 @@
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
 import { decodeDigests, encodeDigests } from "./digest_codec.ts";
-import { listen } from "./front_server.ts";
+import { listen, maxHeaderSizeBytes } from "./front_server.ts";
 import { chooseTargets, maxDirectMembers } from "./peer_targets.ts";
 
 /** State that an instance serves to one that is behind. */
@@ -107,6 +107,8 @@
 /** Instances that are asked where a stream began, and how long, in ms. */
 const maxAsked = 3;
 const originTimeoutMs = 150;
+/** Room for the headers of the link, in bytes. */
+const linkHeaderBytes = 1_024;
 const ok = 200;
 const notFound = 404;
 
@@ -248,7 +250,11 @@
 }
 
 async function openStateServer(options: PeerLinkOptions): Promise<Server> {
-  const server = createServer({ noDelay: true }, (request, response) => {
+  const server = createServer({
+    noDelay: true,
+    // A call that is handed over has the headers of its caller and some more.
+    maxHeaderSize: maxHeaderSizeBytes + linkHeaderBytes,
+  }, (request, response) => {
     if (options.acceptCall?.(request, response)) return;
     request.resume();
     const content = findContent(request.url ?? "", options);
