Refuse a handed-over call with an old key as not taken

Callers of a cut instance got 403 if its peer had just started again: the call bore the key of the peer's former start, the peer answered 403, and the cut instance passed that on as the answer. Found in reading. The 403 says that the call was not taken, so another peer is asked. The check in hand_over.feature fails without the line and passes with it; all 8 scenarios pass (one run each).

--- a/packages/node/src/entry/accept_hand_over.ts
+++ b/packages/node/src/entry/accept_hand_over.ts
@@ -85,7 +85,11 @@
           from: request.socket.remoteAddress,
         });
         request.resume();
-        response.writeHead(forbidden, { connection: "close" }).end();
+        // A peer with the key of a former start asks another instance.
+        response.writeHead(forbidden, {
+          connection: "close",
+          [LinkHeader.Refused]: "unknown key or sender",
+        }).end();
         return true;
       }
       const refusal = findRefusal();
