Keep in the store which software versions have served lately

Cause of streams that were joined of two versions after a kill of all instances: an instance that has just started knew only the versions of its present list, and took a single one for the only one of the last minute. Now the versions of each service are a record in the store. Writers are the instances that read the list; a version is written when it is listed, and removed on condition that nothing was written since the last read, by an instance that has not seen it listed for a minute. No clock of another process takes part. A stream that no instance knows goes on only if list, own history and record have one version; without the record only once the instance itself has watched for a minute. Ruled out: refusing all unknown streams for a minute after a start (streams of fleets with one version would stop as well); the birth times of listed endpoints (they say nothing of those that have left).

--- a/packages/core/src/process/fleet/duty.steps.ts
+++ b/packages/core/src/process/fleet/duty.steps.ts
@@ -61,7 +61,7 @@
       if (ifEnd !== undefined && ifEnd !== world.claims.length) {
         return undefined;
       }
-      world.claims.push(value);
+      if (value) world.claims.push(value);
       if (!world.losesAnswer) return world.claims.length - 1;
       world.losesAnswer = false;
       throw buildFailure(Effect.Unknown);
--- a/packages/core/src/process/streams/events.ts
+++ b/packages/core/src/process/streams/events.ts
@@ -24,4 +24,19 @@
     severity: Severity.Warning,
     message: "stream does not go on: no endpoint of its version takes work",
   },
+  versionStored: {
+    number: 884,
+    severity: Severity.Info,
+    message: "software version is listed and was written to the record",
+  },
+  versionRemoved: {
+    number: 885,
+    severity: Severity.Info,
+    message: "software version has left and was removed from the record",
+  },
+  versionsNotKept: {
+    number: 886,
+    severity: Severity.Warning,
+    message: "record of software versions cannot be read or written",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/streams/index.ts
+++ b/packages/core/src/process/streams/index.ts
@@ -3,6 +3,7 @@
 export {
   createStreamOrigins,
   type OriginReports,
+  originRetentionMs,
   type StreamOrigin,
   type StreamOrigins,
   type StreamOriginsOptions,
@@ -11,3 +12,9 @@
   createVersionHistory,
   type VersionHistory,
 } from "./version_history.ts";
+export {
+  keepVersionRecord,
+  type RecordedVersion,
+  type VersionRecord,
+  type VersionRecordOptions,
+} from "./version_record.ts";
--- a/packages/core/src/process/streams/stream_origins.ts
+++ b/packages/core/src/process/streams/stream_origins.ts
@@ -2,7 +2,8 @@
  * Remembers which software version of which service began each recent stream.
  * A caller may take its stream up at any instance, also after the first one has
  * ended, so instances report the streams that they begin while several versions
- * serve. An instance that does not know a stream asks its peers.
+ * serve. An instance that does not know a stream asks its peers; the stored
+ * record of versions tells it which ones may have begun the stream.
  */
 import { createHash } from "node:crypto";
 import type { LogEvent } from "../../shared/index.ts";
@@ -61,13 +62,16 @@
   readonly listEndpoints: () => readonly ListedEndpoint[];
   /** Age of the list of endpoints, in ms. */
   readonly getListAgeMs: () => number;
+  /** Versions of a service in the stored record, which others may have written; undefined before it was read. */
+  readonly listStored: (service: ServiceName) => readonly string[] | undefined;
   /** Asks peers for the origin of a stream; resolves to undefined if none of them knows it. */
   readonly askPeers: (key: string) => Promise<StreamOrigin | undefined>;
   readonly logEvent?: LogEvent;
 }
 
 /** Time for which a stream may be taken up, in ms: longer than the longest stream with its caller's retries. */
-const retentionMs = 60_000;
+export const originRetentionMs = 60_000;
+const retentionMs = originRetentionMs;
 const maxOrigins = 65_536;
 /** Number of digests that report a stream, and the pause between them in ms, as digests that are close get lost together. */
 const repeats = 3;
@@ -133,6 +137,22 @@
     return origin;
   }
 
+  /** Versions that may have begun a stream within the retention, and whether these are all. */
+  function listCandidates(services: readonly ServiceName[]): {
+    readonly candidates: readonly StreamOrigin[];
+    readonly complete: boolean;
+  } {
+    const watchedMs = performance.now() - startedMs;
+    const candidates = services.flatMap((service) => {
+      const versions = new Set(history.list(service));
+      for (const each of options.listStored(service) ?? []) versions.add(each);
+      return [...versions].map((version) => ({ service, version }));
+    });
+    const complete = watchedMs >= retentionMs ||
+      services.every((each) => options.listStored(each) !== undefined);
+    return { candidates, complete };
+  }
+
   return {
     recordBegun(call, { service, softwareVersion: version = "" }): void {
       const key = computeKey(call);
@@ -157,9 +177,7 @@
         ? undefined
         : await findOrAsk(computeKey(resumes));
       const nowMs = performance.now();
-      const candidates = services.flatMap((service) =>
-        history.list(service).map((version) => ({ service, version }))
-      );
+      const { candidates, complete } = listCandidates(services);
       const fields = {
         call,
         resumes,
@@ -178,7 +196,7 @@
         return { service: origin.service, version: origin.version };
       }
       const [only] = candidates;
-      const isSure = candidates.length === 1 &&
+      const isSure = candidates.length === 1 && complete &&
         options.getListAgeMs() <= maxListAgeMs;
       log(
         isSure ? streamEvents.originAssumed : streamEvents.originUnknown,
--- a/packages/core/src/process/streams/streams.feature
+++ b/packages/core/src/process/streams/streams.feature
@@ -45,6 +45,26 @@
       | v1, v2 | 61000 | v2     | 500  | goes on at v2  |
       | v1     | 0     | v1     | 5000 | must not go on |
 
+  Scenario Outline: The stored record tells a new instance of versions that have left
+    Given 3 instances, and a service with the versions "v2"
+    And a stream that no instance knows
+    When the stored record has the versions "<stored>"
+    Then the stream <ends>
+
+    Examples:
+      | stored | ends           |
+      | v2     | goes on at v2  |
+      | v1, v2 | must not go on |
+      | v1     | must not go on |
+
+  Scenario: Without the record a stream goes on only after an instance has watched the versions
+    Given 3 instances, and a service with the versions "v2"
+    And a stream that no instance knows
+    When the stored record cannot be read
+    Then the stream must not go on
+    When 61000 ms pass for the streams
+    Then the stream goes on at v2
+
   Scenario: What an instance remembers of streams is bounded and ends
     Given 3 instances, and a service with the versions "v1, v2"
     When 70000 streams begin at the first instance
--- a/packages/core/src/process/streams/streams.steps.ts
+++ b/packages/core/src/process/streams/streams.steps.ts
@@ -24,6 +24,8 @@
   instances: StreamInstance[];
   endpoints: readonly ListedEndpoint[];
   listAgeMs: number;
+  /** Versions in the stored record; undefined if it cannot be read. */
+  stored: readonly string[] | undefined;
   /** Version that began each stream, by the id of its call. */
   begun: Map<string, string>;
 }
@@ -43,6 +45,7 @@
     this.streamsClock = pauseClock();
     this.begun = new Map();
     this.listAgeMs = 0;
+    this.stored = [];
     setVersions(this, versions);
     this.instances = Array.from({ length: count }, () => ({
       origins: openOrigins(this),
@@ -62,6 +65,20 @@
   },
 );
 
+When(
+  "the stored record has the versions {string}",
+  function (this: StreamsWorld, versions: string): void {
+    this.stored = versions === "" ? [] : versions.split(", ");
+  },
+);
+
+When(
+  "the stored record cannot be read",
+  function (this: StreamsWorld): void {
+    this.stored = undefined;
+  },
+);
+
 When(
   "the list of endpoints is {int} ms old",
   function (this: StreamsWorld, ageMs: number): void {
@@ -203,6 +220,7 @@
   const origins = createStreamOrigins({
     listEndpoints: () => world.endpoints,
     getListAgeMs: () => world.listAgeMs,
+    listStored: () => world.stored,
     askPeers: (key) =>
       Promise.resolve(
         world.instances
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -96,6 +96,7 @@
   world.origins = createStreamOrigins({
     listEndpoints: world.endpoints.listAll,
     getListAgeMs: () => 0,
+    listStored: () => [],
     askPeers: () => Promise.resolve(undefined),
     logEvent: () => undefined,
   });
--- a/packages/core/src/types/keyed_topics.ts
+++ b/packages/core/src/types/keyed_topics.ts
@@ -45,9 +45,10 @@
   /**
    * Appends one record and resolves to its offset. With `ifEnd`, appends only
    * if the topic's end offset equals it, and otherwise resolves to undefined.
+   * An undefined value removes the key.
    */
   readonly append: (
-    record: { readonly key: string; readonly value: Value },
+    record: { readonly key: string; readonly value: Value | undefined },
     options?: { readonly ifEnd?: number; readonly signal?: AbortSignal },
   ) => Promise<number | undefined>;
 }
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -213,6 +213,7 @@
         instances: createEmptyTopic(this),
         duties: createEmptyTopic(this),
         crashes: createEmptyTopic(this),
+        versions: createEmptyTopic(this),
         endpoints: openList(this),
       },
       channels: createChannels(),
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -21,6 +21,8 @@
   type FollowedTopic,
   followTopic,
   isTrialOwner,
+  keepVersionRecord,
+  originRetentionMs,
   type PeerDigest,
   type PeerRegistry,
   type RouteIndex,
@@ -124,9 +126,20 @@
     logEvent,
   });
 
+  const versionRecord = keepVersionRecord({
+    topic: topics.versions,
+    listEndpoints: endpoints.listAll,
+    getListAgeMs: () => endpointTopic.getAgeMs(),
+    isWriter: () => readingStore,
+    retentionMs: originRetentionMs,
+    random: Math.random,
+    logEvent,
+    signal,
+  });
   const origins = createStreamOrigins({
     listEndpoints: endpoints.listAll,
     getListAgeMs: () => endpointTopic.getAgeMs(),
+    listStored: versionRecord.list,
     askPeers: options.fetchOrigin,
     logEvent,
   });
@@ -186,6 +199,7 @@
     restoredMs = performance.now();
     logEvent(fleetEvents.storeRestored, { era, former, from });
     endpointTopic.markRestored();
+    versionRecord.markRestored();
     // Long polls wait at offsets of the former era.
     configuration.interrupt();
     instances.interrupt();
--- a/packages/node/src/entry/platform.ts
+++ b/packages/node/src/entry/platform.ts
@@ -11,6 +11,7 @@
   ListedEndpoint,
   PeerAddress,
   ReadableTopic,
+  RecordedVersion,
   RoutingConfiguration,
   SendParameters,
   StoredCrashes,
@@ -27,6 +28,8 @@
   readonly duties: WritableTopic<DutyClaim>;
   /** Crash evidence, one record for each instance. */
   readonly crashes: WritableTopic<StoredCrashes>;
+  /** Software versions that services have had lately. */
+  readonly versions: WritableTopic<RecordedVersion>;
 }
 
 /** Called for each record that cannot be decoded; `why` names the fault. */
