Close connections after answers that name no call, or another one

Cause of refusals that were taken for the answer to a later call: a refusal without an id was believed on a kept connection, where a server may write it once more. Now such a connection carries no further call, so there is no earlier refusal on the connection of any call; and an answer to another call spends its connection also if its body had already ended, when it went back to the pool before. Ruled out: believing no refusal without an id on a kept connection (full servers on the users' platform refuse without one, and their callers would hear 502 instead of a time to come back).

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -170,6 +170,10 @@
     recordLimit(state, facts, answer);
   }
   const wrong = findAnswerFault(answer, state, facts);
+  // A server may write such an answer once more, before its next one.
+  if (wrong !== undefined || answer.head.callId === undefined) {
+    answer.closeAfterwards();
+  }
   if (wrong === undefined) return answer;
   await closeAnswer(answer);
   throw new WrongAnswerError(wrong);
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -35,6 +35,8 @@
    * iteration early closes the connection.
    */
   readonly body: AsyncIterable<Buffer>;
+  /** Closes the connection once the answer has ended, instead of keeping it for later calls. */
+  readonly closeAfterwards: () => void;
 }
 
 /** Cancellation and connection reuse of one send. */
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -46,6 +46,8 @@
   /** When the connection was opened, in ms of `performance.now()`. */
   readonly connectedMs: number;
   readonly body: AsyncIterable<Buffer>;
+  /** Closes the connection once the response has ended, instead of keeping it for later requests. */
+  readonly closeAfterwards: () => void;
 }
 
 /** The connection pool of one process. */
@@ -78,6 +80,8 @@
 interface Channel extends ConnectingChannel {
   readonly client: UndiciClient;
   idleSinceMs: number;
+  /** Whether it is not used again. */
+  spent: boolean;
 }
 
 /** Creates an empty connection pool; connections are opened on demand. */
@@ -103,6 +107,7 @@
       wasReset: false,
       connectedMs: Infinity,
       idleSinceMs: performance.now(),
+      spent: false,
     };
     channel.client.on("disconnect", () => removeIdle(channel));
     return channel;
@@ -134,7 +139,7 @@
     const { socket } = channel;
     // A server that answers early may not have read the whole request.
     const usable = socket && !socket.destroyed && socket.writableLength === 0;
-    if (!usable || closed) return closeChannel(channel);
+    if (!usable || closed || channel.spent) return closeChannel(channel);
     channel.idleSinceMs = performance.now();
     const pooled = idle.get(channel.address) ?? [];
     pooled.push(channel);
@@ -145,10 +150,17 @@
     }
   }
 
+  /** An idle one is closed at once. */
+  function retireChannel(channel: Channel): void {
+    channel.spent = true;
+    removeIdle(channel);
+  }
+
   return {
     exchange: (address, request) =>
       runExchange(claimChannel(address, request.maxIdleMs), request, {
         onFree: releaseChannel,
+        onSpent: retireChannel,
         observer: options.observer,
       }),
     hasIdle(address, maxIdleMs = Infinity): boolean {
@@ -181,6 +193,7 @@
   request: ChannelRequest,
   options: {
     readonly onFree: (channel: Channel) => void;
+    readonly onSpent: (channel: Channel) => void;
     readonly observer?: ChannelObserver;
   },
 ): Promise<ChannelAnswer> {
@@ -249,6 +262,7 @@
           framed: isFramed(headers),
           connectedMs,
           body,
+          closeAfterwards: () => options.onSpent(channel),
         });
       },
       onResponseData(_started, chunk): void {
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -57,6 +57,7 @@
         framed: answer.framed,
         connectedMs: answer.connectedMs,
         body: answer.body,
+        closeAfterwards: answer.closeAfterwards,
       };
     },
     isConnected: ({ address }, { maxIdleMs } = {}) =>
