Reproduce an unframed answer that looks whole when its handler fails, and test errors after a stream has begun

Report of other operators: after a stream had begun, the next server's error, or an end as if it were complete. The second does: if the handler of a call fails after an answer without a length has begun, the connection is closed instead of reset.

--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -263,6 +263,18 @@
   },
 );
 
+Then(
+  "the caller has events {int} to {int} and no other bytes",
+  function (this: ForwardWorld, first: number, last: number): void {
+    const events = Array.from(
+      { length: last - first + 1 },
+      (_, index) => `id: ${first + index}\ndata: x\n\n`,
+    );
+    assert.equal(this.caller.text, events.join(""));
+    assert.equal(this.caller.status, 200);
+  },
+);
+
 Then("the generation took the prompt of {string}", function (
   this: ForwardWorld,
   name: string,
--- a/packages/node/src/entry/front_server.feature
+++ b/packages/node/src/entry/front_server.feature
@@ -25,6 +25,15 @@
     When a caller sends a request whose unframed answer is cut after "part"
     Then the caller sees its answer break off
 
+  Scenario Outline: An answer whose handler fails cannot look complete
+    When a caller sends a request whose <kind> answer fails after "part"
+    Then the caller sees its answer break off
+
+    Examples:
+      | kind     |
+      | framed   |
+      | unframed |
+
   Scenario: An answer without framing ends with the connection
     When a caller sends a request whose unframed answer is "part"
     Then the caller gets status 200 and the body "part"
--- a/packages/node/src/entry/front_server.steps.ts
+++ b/packages/node/src/entry/front_server.steps.ts
@@ -23,6 +23,8 @@
   idleSocket?: Socket;
 }
 
+/** Error of a handler that fails after it has begun its answer. */
+const handlerFailure = new Error("handler failed");
 const limits = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 1_000_000,
@@ -56,7 +58,9 @@
   this.frontAddress = { host: "127.0.0.1", port };
   this.front = await openFrontServer({
     address: `127.0.0.1:${port}`,
-    onFailure: (error) => assert.fail(String(error)),
+    onFailure: (error) => {
+      if (error !== handlerFailure) assert.fail(String(error));
+    },
     answer: async (request, answer) => {
       this.forwarded.push(request);
       answer.left.addEventListener("abort", () => this.leftSeen = true);
@@ -72,7 +76,8 @@
       );
       await answer.write(Buffer.from(body));
       // The caller has the first part before the cut.
-      if (step.endsWith("cut")) await waitFor(50);
+      if (/cut$|fails$/.test(step)) await waitFor(50);
+      if (step.endsWith("fails")) throw handlerFailure;
       if (step.endsWith("cut")) answer.cut();
       else answer.end();
     },
@@ -127,14 +132,15 @@
 });
 
 When(
-  /^a caller sends a request whose (unframed )?answer is (cut after )?"(.*)"$/,
+  /^a caller sends a request whose (framed |unframed )?answer (is|is cut after|fails after) "(.*)"$/,
   async function (
     this: FrontWorld,
-    unframed: string | null,
-    cut: string | null,
+    kind: string | null,
+    how: string,
     text: string,
   ): Promise<void> {
-    const step = `${unframed ? "unframed" : "framed"}${cut ? "cut" : ""}`;
+    const ends = { "is cut after": "cut", "fails after": "fails" }[how] ?? "";
+    const step = `${kind?.trim() ?? "framed"}${ends}`;
     this.received = await sendBytes(this, buildRequest(`/${step}/${text}`, 1));
   },
 );
