Reset answers without a length whose handler fails

Cause: the listener closed the connection of an answer that had begun when its handler failed. Without a length a close is the regular end, so a part looked like the whole. It is cut as a broken stream is, which resets such a connection; calls that peers hand over as well. front_server.feature: 1 of 2 examples failed before, both pass; hand_over.feature passes.

--- a/packages/node/src/entry/accept_hand_over.ts
+++ b/packages/node/src/entry/accept_hand_over.ts
@@ -1,7 +1,7 @@
 /** Runs calls that peers hand over because they are cut off from the endpoints. */
 import { timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { linkEvents, runForward } from "@trefoildoor/core";
+import { type CallerAnswer, linkEvents, runForward } from "@trefoildoor/core";
 import { entryEvents } from "./events.ts";
 import { type CallerRequest, createAnswer, readBody } from "./front_server.ts";
 import { LinkHeader, pickPassedHeaders } from "./hand_over_wire.ts";
@@ -56,10 +56,12 @@
 
   async function runCall(
     request: IncomingMessage,
-    response: ServerResponse,
+    { response, answer }: {
+      readonly response: ServerResponse;
+      readonly answer: CallerAnswer;
+    },
   ): Promise<void> {
     const receivedMs = performance.now();
-    const answer = createAnswer(response, { isLeaving: () => false });
     const version = fleet.getVersion();
     const body = version &&
       await readBody(request, version.limits.maxBodyBytes);
@@ -101,10 +103,11 @@
       }
       open += 1;
       response.once("close", () => open -= 1);
-      runCall(request, response).catch((error: unknown) => {
+      const answer = createAnswer(response, { isLeaving: () => false });
+      runCall(request, { response, answer }).catch((error: unknown) => {
         if (request.destroyed && !response.writable) return;
         options.logEvent(entryEvents.handlerFailed, { error: String(error) });
-        response.destroy();
+        answer.cut();
       });
       return true;
     },
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -108,7 +108,7 @@
       // A caller that disconnected while its body was read needs no response.
       if (answer.left.aborted) return;
       options.onFailure(error);
-      if (response.headersSent) return void response.destroy();
+      if (answer.isStarted()) return answer.cut();
       response.writeHead(internalError).end();
     }
   }
