--- /dev/null
+++ b/packages/core/src/connection/repeated_refusals.steps.ts
@@ -0,0 +1,132 @@
+/** Steps of `repeated_refusals.feature`. */
+import assert from "node:assert/strict";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { Effect, RemoteError } from "../types/index.ts";
+import { openHttpConnections } from "./http/index.ts";
+
+/** State of one scenario. */
+interface RefusalWorld {
+  refusalServer?: Server;
+  /** Paths of calls that have run. */
+  ran: Set<string>;
+  sockets: Set<Socket>;
+  results: { readonly path: string; readonly error?: unknown }[];
+}
+
+const host = "127.0.0.1";
+
+After(function (this: RefusalWorld): void {
+  this.refusalServer?.close();
+  this.refusalServer?.closeAllConnections();
+});
+
+Given(
+  /^a server that (?:refuses the first call of each connection with (\d+), and writes that refusal once more before its next answer|answers all calls)$/,
+  async function (this: RefusalWorld, status: string | null): Promise<void> {
+    this.ran = new Set();
+    this.sockets = new Set();
+    this.results = [];
+    const refusals = new WeakMap<Socket, string>();
+    this.refusalServer = createServer((request, response) => {
+      this.sockets.add(request.socket);
+      if (status !== null && refuse(request, { response, status, refusals })) {
+        return;
+      }
+      this.ran.add(request.url ?? "");
+      response.end("{}");
+    });
+    const server = this.refusalServer;
+    await new Promise<void>((resolve) => server.listen(0, host, resolve));
+  },
+);
+
+When(
+  /^(\d+) calls are sent (?:one after the other|at a time on (\d+) connections)$/,
+  async function (
+    this: RefusalWorld,
+    count: string,
+    most: string | null,
+  ): Promise<void> {
+    const { port } = this.refusalServer?.address() as AddressInfo;
+    const connections = openHttpConnections(`${host}:${port}`, {
+      maxConnections: most === null ? undefined : Number(most),
+    });
+    const send = async (path: string): Promise<void> => {
+      try {
+        const answer = await connections.send({ method: "POST", path });
+        await answer.body.text();
+        this.results.push({ path });
+      } catch (error) {
+        this.results.push({ path, error });
+      }
+    };
+    const sends: Promise<void>[] = [];
+    for (let each = 0; each < Number(count); each++) {
+      sends.push(send(`/${each}`));
+      if (most === null) await sends.at(-1);
+    }
+    await Promise.all(sends);
+    await connections.close();
+  },
+);
+
+Then(
+  "no call that has run is refused as without effect",
+  function (this: RefusalWorld): void {
+    const untrue = this.results.filter(({ path, error }) =>
+      error instanceof RemoteError && error.effect === Effect.None &&
+      this.ran.has(path)
+    );
+    assert.deepEqual(untrue.map(({ path }) => path), []);
+  },
+);
+
+Then(
+  "each call has run or is refused",
+  function (this: RefusalWorld): void {
+    for (const { path, error } of this.results) {
+      const refused = error instanceof RemoteError &&
+        error.effect === Effect.None;
+      assert.ok(refused !== this.ran.has(path), path);
+    }
+  },
+);
+
+Then(
+  "the calls came on at most {int} connections",
+  function (this: RefusalWorld, most: number): void {
+    assert.ok(this.sockets.size <= most, String(this.sockets.size));
+  },
+);
+
+/** Refuses a call if it is the first one of its connection; otherwise writes the refusal of that one again. */
+function refuse(
+  { socket }: IncomingMessage,
+  { response, status, refusals }: {
+    readonly response: ServerResponse;
+    readonly status: string;
+    readonly refusals: WeakMap<Socket, string>;
+  },
+): boolean {
+  const earlier = refusals.get(socket);
+  if (earlier !== undefined) {
+    socket.write(earlier);
+    return false;
+  }
+  const body = JSON.stringify({ error: { effect: Effect.None } });
+  refusals.set(
+    socket,
+    `HTTP/1.1 ${status} Refused\r\ncontent-length: ${body.length}\r\n\r\n` +
+      body,
+  );
+  response.writeHead(Number(status), { "content-length": body.length });
+  response.end(body);
+  return true;
+}
