Close the daemon's connections after error answers

The mending of the entry for the daemon: each connection of its pools is a client of its own that closes the connection when an error answer has ended, before the next call is sent. repeated_refusals.feature of core: four of five scenarios failed, 10 of 20 calls untrue; all pass, and calls that succeed still share connections. calls, service_crashes, streams and keep_endpoint pass (27 scenarios).

--- a/packages/core/src/connection/http/http_connection.ts
+++ b/packages/core/src/connection/http/http_connection.ts
@@ -5,6 +5,7 @@
  */
 import { type Dispatcher, Pool } from "undici";
 import type { z } from "zod";
+import { createCarefulClient } from "./careful_client.ts";
 import {
   convertError,
   DeadlineError,
@@ -135,7 +136,10 @@
   const pool = new Pool(buildOrigin(address), {
     connections: options.maxConnections ?? defaultMaxConnections,
     pipelining: 1,
-    connect: { timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs },
+    factory: (origin, clientOptions) =>
+      createCarefulClient(origin, clientOptions, {
+        timeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
+      }),
     headersTimeout: options.answerTimeoutMs ?? defaultAnswerTimeoutMs,
     bodyTimeout: 0,
     keepAliveTimeout: keepAliveTimeoutMs,
