Choose the generating engine of an export once for each domain and version

Cause of placements that grew with the square of the engines: the generator of an export was chosen anew for each exporter, though only its failure domain and software version matter. Now the costs of generators are estimated once, and compared once for each domain and version of the exporters. The same generator is chosen: placement_costs.feature compares with each exporter by itself.

--- a/packages/core/src/request/forwarding/place_generation.ts
+++ b/packages/core/src/request/forwarding/place_generation.ts
@@ -80,17 +80,64 @@
   exporter: ListedEndpoint,
   options: PlacementOptions,
 ): ListedEndpoint | undefined {
-  return pickCheapest(
-    listGenerating(listUsable(options)).filter((engine) =>
-      engine.softwareVersion === exporter.softwareVersion
-    ).map((engine) => ({
-      engine,
-      cost: estimateLoadPenaltyMs(engine, options) +
-        estimateBacklogMs(engine, options) +
-        estimateDistanceMs(engine, exporter) +
-        (options.isConnected(engine) ? 0 : connectPenaltyMs),
-    })),
-  )?.engine;
+  const candidates = estimateGenerators(
+    listGenerating(listUsable(options)),
+    options,
+  );
+  return pickNearGenerator(exporter, candidates)?.engine;
+}
+
+/** An engine that may generate, with the costs that do not depend on where the prompt was computed. */
+interface GeneratorEstimate {
+  readonly engine: ListedEndpoint;
+  /** Expected time until the generation can begin, in ms. */
+  readonly waitMs: number;
+  /** That time and the penalty for a new connection, in ms. */
+  readonly cost: number;
+}
+
+function estimateGenerators(
+  engines: readonly ListedEndpoint[],
+  options: PlacementOptions,
+): readonly GeneratorEstimate[] {
+  return engines.map((engine) => {
+    const waitMs = estimateLoadPenaltyMs(engine, options) +
+      estimateBacklogMs(engine, options);
+    const connectMs = options.isConnected(engine) ? 0 : connectPenaltyMs;
+    return { engine, waitMs, cost: waitMs + connectMs };
+  });
+}
+
+function pickNearGenerator(
+  exporter: ListedEndpoint,
+  candidates: readonly GeneratorEstimate[],
+): GeneratorEstimate | undefined {
+  let cheapest: GeneratorEstimate | undefined;
+  let lowest = Infinity;
+  for (const candidate of candidates) {
+    const { engine } = candidate;
+    if (engine.softwareVersion !== exporter.softwareVersion) continue;
+    const cost = candidate.cost + estimateDistanceMs(engine, exporter);
+    if (cheapest && cost >= lowest) continue;
+    cheapest = candidate;
+    lowest = cost;
+  }
+  return cheapest;
+}
+
+/** Returns a function that chooses the generator once for all exporters of one failure domain and software version. */
+function createGeneratorChoice(
+  candidates: readonly GeneratorEstimate[],
+): (exporter: ListedEndpoint) => GeneratorEstimate | undefined {
+  const chosen = new Map<string, GeneratorEstimate | undefined>();
+  return (exporter) => {
+    const { failureDomain, softwareVersion } = exporter;
+    const key = JSON.stringify([failureDomain, softwareVersion]);
+    if (!chosen.has(key)) {
+      chosen.set(key, pickNearGenerator(exporter, candidates));
+    }
+    return chosen.get(key);
+  };
 }
 
 function choosePlacement(
@@ -108,13 +155,14 @@
         estimateLoadPenaltyMs(read.engine, options),
     })),
   );
+  const chooseGenerator = createGeneratorChoice(
+    estimateGenerators(generating, options),
+  );
   const exported = pickCheapest(
     estimatePrefills(work, exporting, options).flatMap((read) => {
-      const generator = pickGenerator(read.engine, options);
+      const generator = chooseGenerator(read.engine);
       if (!generator) return [];
-      const afterMs = exportOverheadMs +
-        estimateLoadPenaltyMs(generator, options) +
-        estimateBacklogMs(generator, options);
+      const afterMs = exportOverheadMs + generator.waitMs;
       return [{
         read: { ...read, ms: read.ms + afterMs },
         cost: read.cost + afterMs,
