Find the home of a prompt without sorting the engines

Each placement sorted all engines by their weight for the prompt up to four times and used the first one. findByRendezvous looks at each engine once and finds the same name; trials of crash evidence use it as well. 147 scenarios of forwarding, crashes and routing pass; no figure of its own was measured.

--- a/packages/core/src/process/crashes/trials.ts
+++ b/packages/core/src/process/crashes/trials.ts
@@ -6,7 +6,7 @@
  */
 import type { LogEvent } from "../../shared/index.ts";
 import type { ForwardCall } from "../../types/index.ts";
-import { sortByRendezvous } from "../../request/routing/index.ts";
+import { findByRendezvous } from "../../request/routing/index.ts";
 import { setBounded } from "./bounded_map.ts";
 import type { Trait, TraitVerdict } from "./crash_types.ts";
 import { crashEvents } from "./events.ts";
@@ -45,7 +45,7 @@
   },
 ): boolean {
   const turn = Math.floor(sinceCrashMs / ownerMs);
-  const [owner] = sortByRendezvous(`${turn}\n${trait}`, [own, ...others]);
+  const owner = findByRendezvous(`${turn}\n${trait}`, [own, ...others]);
   return owner === own;
 }
 
--- a/packages/core/src/request/forwarding/estimate_reads.ts
+++ b/packages/core/src/request/forwarding/estimate_reads.ts
@@ -5,7 +5,7 @@
   type ListedEndpoint,
   type PromptPart,
 } from "../../types/index.ts";
-import { sortByRendezvous } from "../routing/index.ts";
+import { findByRendezvous } from "../routing/index.ts";
 import type { PlacementOptions } from "./place_generation.ts";
 
 /** Estimated prefill of a prompt at one engine. */
@@ -178,5 +178,5 @@
 ): string | undefined {
   const last = shared.at(-1);
   if (!last) return undefined;
-  return sortByRendezvous(last.id, engines.map(({ name }) => name))[0];
+  return findByRendezvous(last.id, engines.map(({ name }) => name));
 }
--- a/packages/core/src/request/routing/index.ts
+++ b/packages/core/src/request/routing/index.ts
@@ -13,7 +13,7 @@
   estimateTokenMs,
   type RouteRequest,
 } from "./estimate.ts";
-export { sortByRendezvous } from "./hashing.ts";
+export { findByRendezvous, sortByRendezvous } from "./hashing.ts";
 export {
   createEndpointTable,
   type EndpointFlags,
