Read the record of versions again after a store came back, whatever read is under way

Found on reading the change: a read of the former era that was under way when the store came back from an older copy replaced the mark that its records may be lost.

--- a/packages/core/src/process/streams/stream_origins.ts
+++ b/packages/core/src/process/streams/stream_origins.ts
@@ -71,7 +71,6 @@
 
 /** Time for which a stream may be taken up, in ms: longer than the longest stream with its caller's retries. */
 export const originRetentionMs = 60_000;
-const retentionMs = originRetentionMs;
 const maxOrigins = 65_536;
 /** Number of digests that report a stream, and the pause between them in ms, as digests that are close get lost together. */
 const repeats = 3;
@@ -107,13 +106,13 @@
   const waiting = new Map<string, WaitingReport>();
   const history = createVersionHistory({
     listEndpoints: options.listEndpoints,
-    retentionMs,
+    retentionMs: originRetentionMs,
   });
 
   function setOrigin(key: string, origin: KnownOrigin): void {
     origins.delete(key);
     origins.set(key, origin);
-    const oldestMs = performance.now() - retentionMs;
+    const oldestMs = performance.now() - originRetentionMs;
     for (const [oldest, { recordedMs }] of origins) {
       if (recordedMs >= oldestMs && origins.size <= maxOrigins) return;
       origins.delete(oldest);
@@ -123,7 +122,7 @@
   function find(key: string): KnownOrigin | undefined {
     const known = origins.get(key);
     const expired = known &&
-      performance.now() - known.recordedMs > retentionMs;
+      performance.now() - known.recordedMs > originRetentionMs;
     return expired ? undefined : known;
   }
 
@@ -148,7 +147,7 @@
       for (const each of options.listStored(service) ?? []) versions.add(each);
       return [...versions].map((version) => ({ service, version }));
     });
-    const complete = watchedMs >= retentionMs ||
+    const complete = watchedMs >= originRetentionMs ||
       services.every((each) => options.listStored(each) !== undefined);
     return { candidates, complete };
   }
--- a/packages/core/src/process/streams/version_record.ts
+++ b/packages/core/src/process/streams/version_record.ts
@@ -70,12 +70,15 @@
   const { topic, signal, logEvent, retentionMs } = options;
   /** By key of the record; undefined before the first read. */
   let stored: Map<string, StoredVersion> | undefined;
+  /** Whether the store may have lost records since the last read began. */
+  let lost = false;
   let next = 0;
   let failures = 0;
   const firstWriteMs = performance.now() +
     options.random() * firstWriteSpreadMs;
 
   async function read(): Promise<Map<string, StoredVersion>> {
+    lost = false;
     const page = await topic.fetchNewest(
       AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
     );
@@ -93,7 +96,7 @@
   }
 
   /** Updates which versions are listed; returns those to write: not in the record, or listed again after some time. */
-  function findMissing(
+  function updateListed(
     known: ReadonlyMap<string, StoredVersion>,
   ): ReadonlyMap<string, RecordedVersion> {
     const nowMs = performance.now();
@@ -112,8 +115,8 @@
   }
 
   async function addListed(): Promise<void> {
-    const known = stored ?? await read();
-    const missing = findMissing(known);
+    const known = lost || !stored ? await read() : stored;
+    const missing = updateListed(known);
     if (missing.size === 0 || !mayWrite()) return;
     // Another instance may have written a new version meanwhile.
     const current = await read();
@@ -172,7 +175,7 @@
   void run();
   return {
     list(service): readonly string[] | undefined {
-      if (!stored) return undefined;
+      if (!stored || lost) return undefined;
       const oldestMs = performance.now() - retentionMs;
       return [...stored.values()]
         .filter((each) =>
@@ -182,7 +185,7 @@
         .map(({ version }) => version);
     },
     markRestored(): void {
-      stored = undefined;
+      lost = true;
     },
   };
 }
@@ -190,10 +193,17 @@
 function listVersions(
   endpoints: readonly ListedEndpoint[],
 ): Map<string, RecordedVersion> {
-  return new Map(
-    endpoints.map(({ service, softwareVersion: version = "" }) => [
-      JSON.stringify([service, version]),
-      { service, version },
-    ]),
-  );
+  const services = new Map<ServiceName, Set<string>>();
+  for (const { service, softwareVersion = "" } of endpoints) {
+    const known = services.get(service);
+    if (known) known.add(softwareVersion);
+    else services.set(service, new Set([softwareVersion]));
+  }
+  const versions = new Map<string, RecordedVersion>();
+  for (const [service, each] of services) {
+    for (const version of each) {
+      versions.set(JSON.stringify([service, version]), { service, version });
+    }
+  }
+  return versions;
 }
