--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -68,6 +68,8 @@
 const longPollMs = 10_000;
 /** Pause between two long polls, in ms. */
 const longPollIntervalMs = 20;
+/** Pause between two long polls on the list of instances, in ms: instances that start together register one after the other, and each registration ends the polls of all. */
+const instancesIntervalMs = 400;
 /** Age of the own list above which an instance that reads the store itself also accepts a newer list from a peer, in ms. */
 const staleListMs = 1_300;
 /** Read intervals after which a list counts as stale, so that the instance reads the store itself, and after which digests no longer report successful reads. */
@@ -222,7 +224,7 @@
   });
   const instances: FollowedTopic = followTopic(topics.instances, {
     name: "instances",
-    intervalMs: longPollIntervalMs,
+    intervalMs: instancesIntervalMs,
     longPollMs,
     onPage: ({ records, era }) => {
       acceptEra(era);
