Bound reads of the configuration, so that a silent store hides no version

Callers: after a silence of the store, bookings were run by the service of an older configuration until 10.0 s after the ack of the new one (CONFIG).

Cause: a long poll of the configuration that was sent into a silent store waited for its whole 10 s and 1 s more, and the first read of the list that succeeded did not restart it. Where only idle connections fall silent, nothing restarted it at all.

--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -22,11 +22,15 @@
   readonly intervalMs: number;
   /** Longest time for which the store may hold a read (long poll), in ms; with 0 it answers at once. */
   readonly longPollMs: number;
+  /** Time after which a read has failed, in addition to the time for which the store may hold it, in ms; 1 s by default. */
+  readonly answerTimeoutMs?: number;
   readonly onPage: (page: AppliedPage<Value>) => void;
   /** Whether this instance has to read the store itself, as no peer does; always true if absent. The first read is made in any case. */
   readonly isNeeded?: () => boolean;
   /** Called after each failed read, except interrupted ones. */
   readonly onFailure?: () => void;
+  /** Called after the first successful read that follows failed ones. */
+  readonly onRegained?: () => void;
   readonly signal: AbortSignal;
   readonly random?: () => number;
   readonly logEvent?: LogEvent;
@@ -58,12 +62,7 @@
   readonly interrupt: () => void;
 }
 
-/**
- * Timeout of a read, in ms, in addition to the time for which the store may
- * hold it: far above the store's usual 4 ms, and short enough to detect a dead
- * connection in time.
- */
-const answerTimeoutMs = 1_000;
+const defaultAnswerTimeoutMs = 1_000;
 /**
  * Age of the known state above which a failed read shows an outage, in ms:
  * longer than the delay of a late read, shorter than the time in which entries
@@ -107,7 +106,8 @@
       fetchedNewest || record.offset >= next
     );
     needsNewest = false;
-    if (!readable) {
+    const regained = !readable;
+    if (regained) {
       log(fleetEvents.topicRegained, { topic: options.name, failures });
     }
     readable = true;
@@ -118,6 +118,7 @@
     const applied = { records, next: page.next, era, whole: fetchedNewest };
     next = Math.max(next, page.next);
     options.onPage(applied);
+    if (regained) options.onRegained?.();
   }
 
   function getAgeMs(): number {
@@ -139,9 +140,9 @@
   async function fetchPage(): Promise<TopicPage<Value>> {
     reading = new AbortController();
     interrupted = false;
-    const { longPollMs } = options;
+    const { longPollMs, answerTimeoutMs = defaultAnswerTimeoutMs } = options;
     const timer = setTimeout(
-      () => reading.abort(),
+      () => reading.abort(new DOMException("read timed out", "TimeoutError")),
       answerTimeoutMs + (needsNewest ? 0 : longPollMs),
     );
     try {
@@ -184,7 +185,10 @@
         await readPage();
         await waitFor(addJitter(options.intervalMs), signal);
       } catch (error) {
+        const heldMs = needsNewest ? 0 : options.longPollMs;
         handleFailure(error);
+        // A held read fails late, so its first retry follows at once.
+        if (heldMs > 0 && failures === 1) continue;
         const backoffMs = Math.min(minRetryMs * 2 ** failures, maxRetryMs);
         await waitFor(addJitter(backoffMs), signal);
       }
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -207,6 +207,7 @@
         peers: "10.0.0.2:3",
         store: "10.0.0.3:1",
         leaving_ms: 3_000,
+        configuration_ms: 2_000,
       }),
       topics: {
         configuration: createEmptyTopic(this),
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -64,10 +64,14 @@
 
 /** Number of reads of the list of endpoints per `leaving_ms`, the time after which a leaving endpoint gets no new work. */
 const readsPerLeavingTime = 3;
-/** Timeout of long polls on topics that change rarely, in ms. */
-const longPollMs = 10_000;
-/** Pause between two long polls, in ms. */
-const longPollIntervalMs = 20;
+/** Time for which the store may hold a read of the configuration, as a share of `configuration_ms`. */
+const configurationPollShare = 1 / 4;
+/** Timeout of such a read in addition, as a share of `configuration_ms`: a read on a silent connection ends in time for another one. */
+const configurationTimeoutShare = 1 / 2;
+/** Pause between two reads of the configuration, in ms. */
+const configurationIntervalMs = 20;
+/** Time for which the store may hold a read of the list of instances, in ms. */
+const instancesPollMs = 10_000;
 /** Pause between two long polls on the list of instances, in ms: instances that start together register one after the other, and each registration ends the polls of all. */
 const instancesIntervalMs = 400;
 /** Age of the own list above which an instance that reads the store itself also accepts a newer list from a peer, in ms. */
@@ -210,8 +214,9 @@
 
   const configuration: FollowedTopic = followTopic(topics.configuration, {
     name: "configuration",
-    intervalMs: longPollIntervalMs,
-    longPollMs,
+    intervalMs: configurationIntervalMs,
+    longPollMs: Math.round(settings.configuration_ms * configurationPollShare),
+    answerTimeoutMs: settings.configuration_ms * configurationTimeoutShare,
     onPage: ({ records, era }) => {
       acceptEra(era);
       for (const { value } of records) {
@@ -225,7 +230,7 @@
   const instances: FollowedTopic = followTopic(topics.instances, {
     name: "instances",
     intervalMs: instancesIntervalMs,
-    longPollMs,
+    longPollMs: instancesPollMs,
     onPage: ({ records, era }) => {
       acceptEra(era);
       for (const { value } of records) if (value) peers.register(value);
@@ -250,15 +255,18 @@
       options.onListRead(listUpdates.get());
     },
     isNeeded: isReader,
-    onFailure(): void {
-      // Restarts the long polls: their connections may be unresponsive as well.
-      configuration.interrupt();
-      instances.interrupt();
-    },
+    onFailure: restartPolls,
+    onRegained: restartPolls,
     signal,
     logEvent,
   });
 
+  /** Called when reads of the list fail or succeed again: the connections of held reads may be unresponsive as well. */
+  function restartPolls(): void {
+    configuration.interrupt();
+    instances.interrupt();
+  }
+
   function isBehind(digest: PeerDigest): boolean {
     if (digest.version > (version?.version ?? 0)) return true;
     const { next } = endpoints.getOffsets();
--- a/packages/node/src/entry/settings.ts
+++ b/packages/node/src/entry/settings.ts
@@ -62,6 +62,9 @@
   leaving_ms: z.int().min(500).default(2_000).describe(
     "Time after which a leaving endpoint must get no new work, in ms",
   ),
+  configuration_ms: z.int().min(500).default(2_000).describe(
+    "Time after which a new configuration must be in force, in ms",
+  ),
   repeats: repeatsSchema.prefault({}).describe("Bounds of repeated calls"),
   roles: rolesSchema.prefault({}).describe("Roles of model engines"),
   stop: stopSchema.prefault({}).describe("Planned stop"),
