Read a list of several pages on from the end of its first page

Callers: an instance that had just started sent about a third of the bookings to a server that had left, 8.5 s after the ack of its removal (DRAIN).

The removal of a key of an earlier page lies below it and was never read.

Change: the next read begins at the end of the first page. Records of later pages that are newer than that are remembered by key, so that an older record does not undo them.

The duty's and the version record's conditional appends only fail more often by a lower offset.

--- a/packages/core/src/process/fleet/follow_topic.feature
+++ b/packages/core/src/process/fleet/follow_topic.feature
@@ -102,3 +102,12 @@
     And reads of the topic are needed
     And 200 ms pass for the topic
     Then the topic has been steady for Infinity ms
+
+  # Guards against records of a list's later pages that are undone by older ones of the same key.
+  Scenario: What was read ahead of a list's first page is not handed on again
+    Given a topic with the records "a, b, a" that is followed every 100 ms
+    And the newest records are listed with the end 1
+    When 250 ms pass for the topic
+    And the records "b" are appended
+    And 250 ms pass for the topic
+    Then the records handed on are "a, b, a, b"
--- a/packages/core/src/process/fleet/follow_topic.steps.ts
+++ b/packages/core/src/process/fleet/follow_topic.steps.ts
@@ -18,6 +18,8 @@
   topicClock?: PausedClock;
   records: TopicRecord<string>[];
   earliest: number;
+  /** End that a list of the newest records states; that of the topic if undefined. */
+  listedEnd?: number;
   failingUntilMs: number;
   silentUntilMs: number;
   handedOn: string[];
@@ -75,7 +77,8 @@
   return {
     async fetchNewest(signal): Promise<TopicPage<string>> {
       await waitForStore(world, signal);
-      return buildPage(0);
+      const page = buildPage(0);
+      return { ...page, next: world.listedEnd ?? page.next };
     },
     async read(from, { waitMs, signal }): Promise<TopicPage<string>> {
       const endMs = performance.now() + waitMs;
@@ -102,6 +105,7 @@
   world.topicClock = pauseClock();
   world.records = [];
   world.earliest = 0;
+  world.listedEnd = undefined;
   world.failingUntilMs = -Infinity;
   world.silentUntilMs = -Infinity;
   world.handedOn = [];
@@ -138,6 +142,13 @@
   },
 );
 
+Given("the newest records are listed with the end {int}", function (
+  this: TopicWorld,
+  end: number,
+): void {
+  this.listedEnd = end;
+});
+
 When("the records {string} are appended", function (
   this: TopicWorld,
   names: string,
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -88,6 +88,8 @@
   let next = 0;
   /** Whether the next read has to fetch the newest record of every key. */
   let needsNewest = true;
+  /** Offsets of records that were read ahead of `next`, by key. */
+  const readAhead = new Map<string, number>();
   let readMs = -Infinity;
   let peerReadMs = -Infinity;
   let failedMs = -Infinity;
@@ -102,9 +104,11 @@
     const fetchedNewest = needsNewest;
     const page = await fetchPage();
     // `advanceTo` may have moved the offset while the read was held.
-    const records = page.records.filter((record) =>
-      fetchedNewest || record.offset >= next
+    const records = page.records.filter(({ key, offset }) =>
+      fetchedNewest ||
+      offset >= next && offset > (readAhead.get(key) ?? -Infinity)
     );
+    if (fetchedNewest) recordReadAhead(page);
     needsNewest = false;
     const regained = !readable;
     if (regained) {
@@ -121,6 +125,14 @@
     if (regained) options.onRegained?.();
   }
 
+  /** Records which keys have a newer record than the read that follows begins with. */
+  function recordReadAhead(page: TopicPage<Value>): void {
+    readAhead.clear();
+    for (const { key, offset } of page.records) {
+      if (offset >= page.next) readAhead.set(key, offset);
+    }
+  }
+
   function getAgeMs(): number {
     return performance.now() - Math.max(readMs, peerReadMs);
   }
--- a/packages/core/src/types/keyed_topics.ts
+++ b/packages/core/src/types/keyed_topics.ts
@@ -32,7 +32,7 @@
 
 /** Read access to a topic. */
 export interface ReadableTopic<Value> {
-  /** The newest record of each key. */
+  /** The newest record of each key. Records at `next` or above may be among them, and are read again from there. */
   readonly fetchNewest: (signal?: AbortSignal) => Promise<TopicPage<Value>>;
   readonly read: (
     from: number,
