--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -47,6 +47,7 @@
       outcome: Outcome.Done,
       status,
       endpoint: engine.name,
+      framed: answer.framed,
       runs: state.runs,
       firstByteMs: state.firstByteMs,
       exportedMs: state.exportedMs,
@@ -129,6 +130,7 @@
       outcome: Outcome.Done,
       status,
       endpoint: engine.name,
+      framed: answer.framed,
       runs: state.runs,
     };
   } catch (error) {
--- a/packages/core/src/request/forwarding/run_forward.ts
+++ b/packages/core/src/request/forwarding/run_forward.ts
@@ -160,6 +160,7 @@
     reason: end.reason,
     message: end.message,
     endpoint: end.endpoint,
+    framed: end.framed,
     runs: end.runs,
     left: answer.left.aborted,
     exportedMs: formatMs(end.exportedMs),
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -159,6 +159,7 @@
     outcome: Outcome.Done,
     status: head.status,
     endpoint: whole.endpoint.name,
+    framed,
     runs: state.runs,
     firstByteMs,
   };
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -123,6 +123,8 @@
   /** Time after which the caller may retry, in ms. */
   readonly retryAfterMs?: number;
   readonly endpoint?: EndpointName;
+  /** Whether the endpoint stated the length of its answer or its encoding; absent where none answered. */
+  readonly framed?: boolean;
   /** Number of endpoints that may have run the call. */
   readonly runs: number;
   /** Time from receipt of the call to the first byte sent to the caller, in ms. */
