Pass over entries of the store that cannot be used

Callers: with a server listed under a port out of range, calls that were placed there ended as 502 "Invalid URL", and processes ended by themselves (code 1), which broke off all their calls (LOST, and ORDER for streams without a length).

Cause: addresses, keys, states and numbers of other writers were taken as they came. Opening a connection to such an address threw, in a probe or a digest outside of any handler.

Channels reject an address that is none as not sent, and probes of it fail. Digests are checked and applied with care, and keys in the path of a peer's question decoded with care. Nothing that cannot be decoded hides what follows it.

A head that is cut at 9 places is no answer, before and after (channels.feature): undici reports it as an error.

--- a/packages/core/src/shared/index.ts
+++ b/packages/core/src/shared/index.ts
@@ -1,4 +1,5 @@
-/** Helpers for digests, documents, log events, name suggestions and timers. */
+/** Helpers for addresses, digests, documents, log events, name suggestions and timers. */
+export * from "./addresses.ts";
 export * from "./digests.ts";
 export * from "./documents.ts";
 export * from "./events.ts";
--- a/packages/node/src/entry/channel_errors.ts
+++ b/packages/node/src/entry/channel_errors.ts
@@ -26,6 +26,14 @@
   );
 }
 
+/** Error of a request to an address that no connection can be opened to. */
+export function createAddressError(address: string): RemoteError {
+  return new RemoteError(`"${address}" is not an address`, {
+    failure: RemoteFailure.Refused,
+    effect: Effect.None,
+  });
+}
+
 /** Error of a request that must not be sent any more. */
 export function createRefusal(): RemoteError {
   return new RemoteError("endpoint takes no more work", {
--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -34,6 +34,36 @@
     When a call goes to an address where nothing listens
     Then the results are "not sent"
 
+  # Guards against addresses of the list that ended the process or answered calls with 502.
+  Scenario Outline: A call to an address that is none is not sent
+    When a call goes to the address "<address>"
+    Then the results are "not sent"
+    And a probe of the address "<address>" fails
+
+    Examples:
+      | address         |
+      | 127.0.0.1:99999 |
+      | 127.0.0.1:0     |
+      | 999.0.0.1:80    |
+      | 127.0.0.1       |
+
+  # Guards against an answer whose head is cut and that looks like one without a body.
+  Scenario Outline: A server that closes within the head of its answer has given none
+    When calls are answered "<script>, whole"
+    Then the results are "<results>, 200 body"
+
+    Examples:
+      | script                    | results           |
+      | head of 7 bytes           | unknown           |
+      | head of 15 bytes          | unknown           |
+      | head of 17 bytes          | unknown           |
+      | head of 33 bytes          | unknown           |
+      | head of 34 bytes          | unknown           |
+      | head of 37 bytes          | unknown           |
+      | whole, head of 17 bytes   | 200 body, unknown |
+      | whole, head of 34 bytes   | 200 body, unknown |
+      | whole, head of 36 bytes   | 200 body, unknown |
+
   Scenario: A connection that was idle for too long is not trusted
     When calls are answered "whole"
     And the next call allows an idle time of 0 ms and is answered "whole"
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -69,6 +69,8 @@
       socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
       return void socket.write("4\r\nbody\r\n");
     default: {
+      const head = /^head of (\d+) bytes$/.exec(step);
+      if (head) return void socket.end(whole.slice(0, Number(head[1])));
       const bytes = Number(step);
       socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${bytes}\r\n\r\n`);
       socket.write(Buffer.alloc(bytes), () => world.sentAll = true);
@@ -76,6 +78,20 @@
   }
 }
 
+When("a call goes to the address {string}", async function (
+  this: ChannelsWorld,
+  address: string,
+): Promise<void> {
+  await runCall(this, "", { address });
+});
+
+Then("a probe of the address {string} fails", async function (
+  this: ChannelsWorld,
+  address: string,
+): Promise<void> {
+  assert.equal(await this.channels?.probe(address, settleMs), false);
+});
+
 Given(
   "a server that follows a script",
   async function (this: ChannelsWorld): Promise<void> {
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -3,13 +3,14 @@
  * connection carries one request at a time and stays open while idle. It is
  * not reused after a malformed, truncated, unframed or aborted response.
  */
-import { Effect, RemoteError } from "@trefoildoor/core";
+import { Effect, isAddress, RemoteError } from "@trefoildoor/core";
 import type { Client as UndiciClient, Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
 import { createBody } from "./channel_body.ts";
 import {
   classifyError,
   createAbortError,
+  createAddressError,
   createRefusal,
 } from "./channel_errors.ts";
 import {
@@ -157,12 +158,15 @@
   }
 
   return {
-    exchange: (address, request) =>
-      runExchange(claimChannel(address, request.maxIdleMs), request, {
+    async exchange(address, request): Promise<ChannelAnswer> {
+      if (!isAddress(address)) throw createAddressError(address);
+      const channel = claimChannel(address, request.maxIdleMs);
+      return await runExchange(channel, request, {
         onFree: releaseChannel,
         onSpent: dropChannel,
         observer: options.observer,
-      }),
+      });
+    },
     hasIdle(address, maxIdleMs = Infinity): boolean {
       const newest = idle.get(address)?.at(-1);
       return newest !== undefined &&
@@ -173,7 +177,8 @@
       idle.delete(address);
       for (const channel of pooled) closeChannel(channel);
     },
-    probe: (address, timeoutMs) => canConnect(address, timeoutMs, options),
+    probe: async (address, timeoutMs) =>
+      isAddress(address) && await canConnect(address, timeoutMs, options),
     close(): void {
       closed = true;
       for (const channel of [...idle.values()].flat()) closeChannel(channel);
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -286,9 +286,13 @@
   options: PeerLinkOptions,
 ): FleetState | StreamOrigin | undefined {
   if (url === statePath) return options.getState();
-  return url.startsWith(originPath)
-    ? options.findOrigin(decodeURIComponent(url.slice(originPath.length)))
-    : undefined;
+  if (!url.startsWith(originPath)) return undefined;
+  try {
+    return options.findOrigin(decodeURIComponent(url.slice(originPath.length)));
+  } catch {
+    // The key is not encoded as keys are.
+    return undefined;
+  }
 }
 
 function openDigestSocket(
@@ -306,8 +310,12 @@
       );
     }
     for (const { relay, ...digest } of parsed) {
-      if (relay) onRelay(digest);
-      options.onDigest(digest);
+      try {
+        if (relay) onRelay(digest);
+        options.onDigest(digest);
+      } catch (error) {
+        options.onFailure(error);
+      }
     }
   });
   return new Promise((resolve, reject) => {
