Leave single odd entries out of the daemon's list of processes

Callers: with one entry of another form in the platform's list, the daemon reads no list any more, so endpoints that leave get work and new peers are not found.

Cause: the list was decoded as a whole, and an address was any text.

Change: entries are decoded one by one; one that names no process is left out and told once in line 724, with its name and the fields at fault. The check of addresses of the bundle is shared.

Evidence: the new scenario of member_list_standin.feature (ports, kinds, states, addresses and deep nesting) failed before, as the read was rejected, and passes.

--- a/packages/core/src/process/membership/events.ts
+++ b/packages/core/src/process/membership/events.ts
@@ -23,4 +23,9 @@
     severity: Severity.Info,
     message: "process is no longer listed and gets no new work",
   },
+  memberUnusable: {
+    number: 724,
+    severity: Severity.Warning,
+    message: "entry of the list names no process and is left out",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/platform/member_list.ts
+++ b/packages/core/src/process/platform/member_list.ts
@@ -1,23 +1,25 @@
 /** HTTP adapter of the platform's list of live and leaving processes. */
 import { z } from "zod";
 import { openHttpConnections } from "../../connection/http/index.ts";
+import { isAddress } from "../../shared/index.ts";
 import {
   type ListMembers,
+  type Member,
   MemberKind,
   MemberState,
 } from "../../types/platform.ts";
 import type { PlatformOptions } from "./options.ts";
 
-const listSchema = z.object({
-  members: z.array(z.object({
-    name: z.string().min(1),
-    kind: z.enum(MemberKind),
-    state: z.enum(MemberState),
-    failureDomain: z.string(),
-    address: z.string(),
-    peerAddress: z.string().optional(),
-  })),
+const address = z.string().refine(isAddress, "is not an address");
+const memberSchema = z.object({
+  name: z.string().min(1),
+  kind: z.enum(MemberKind),
+  state: z.enum(MemberState),
+  failureDomain: z.string(),
+  address,
+  peerAddress: address.optional(),
 });
+const listSchema = z.object({ members: z.array(z.unknown()) });
 
 const defaultTimeoutMs = 1_000;
 
@@ -27,9 +29,33 @@
   readonly close: () => Promise<void>;
 }
 
-/** Creates a member list client; a read times out after 1 s by default. */
-export function openMemberList(options: PlatformOptions): OpenMemberList {
+/** Options of the member list client. */
+export interface MemberListOptions extends PlatformOptions {
+  /** Called for an entry of the list that names no process, once for as long as it is listed. */
+  readonly onUnusable?: (why: string) => void;
+}
+
+/** Creates a member list client; a read times out after 1 s by default. Entries that name no process are left out. */
+export function openMemberList(options: MemberListOptions): OpenMemberList {
   const connections = openHttpConnections(options.address);
+  /** Reasons why entries of the last list were left out. */
+  let unusable: ReadonlySet<string> = new Set();
+
+  function decodeMembers(entries: readonly unknown[]): readonly Member[] {
+    const reasons = new Set<string>();
+    const members = entries.flatMap((entry) => {
+      const parsed = memberSchema.safeParse(entry);
+      if (parsed.success) return [parsed.data];
+      reasons.add(describeFault(entry, parsed.error));
+      return [];
+    });
+    for (const why of reasons) {
+      if (!unusable.has(why)) options.onUnusable?.(why);
+    }
+    unusable = reasons;
+    return members;
+  }
+
   return {
     listMembers: async (signal) => {
       const answer = await connections.fetchJson({
@@ -39,8 +65,17 @@
         signal,
         readOnly: true,
       }, listSchema);
-      return answer.members;
+      return decodeMembers(answer.members);
     },
     close: connections.close,
   };
 }
+
+const maxNameLength = 100;
+
+function describeFault(entry: unknown, { issues }: z.ZodError): string {
+  const { name } = (entry ?? {}) as { readonly name?: unknown };
+  const shown = typeof name === "string" ? name.slice(0, maxNameLength) : "";
+  const places = issues.map(({ path }) => path.join(".")).join(", ");
+  return `"${shown}": ${places === "" ? "no object" : places}`;
+}
--- a/packages/core/src/version/bundle/check_bundle.ts
+++ b/packages/core/src/version/bundle/check_bundle.ts
@@ -2,11 +2,11 @@
  * Checks a bundle document against its schema, then its sections against each
  * other.
  */
-import { isIP } from "node:net";
 import type { Either } from "purify-ts";
 import {
   type DocumentFault,
   formatHint,
+  isAddress,
   parseDocument,
 } from "../../shared/index.ts";
 import {
@@ -20,8 +20,6 @@
 /** Digest that matches no API key; a caller that has it cannot authenticate. */
 export const disabledKeyDigest = "0".repeat(64);
 
-const maxPort = 65_535;
-
 /**
  * Parses and checks a bundle in YAML or JSON; each finding gives its place in
  * `source`.
@@ -171,13 +169,6 @@
   ];
 }
 
-function isAddress(address: string): boolean {
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):([0-9]{1,5})$/.exec(address);
-  const port = Number(match?.[3]);
-  const isPort = port >= 1 && port <= maxPort;
-  return isPort && isIP(match?.[1] ?? match?.[2] ?? "") !== 0;
-}
-
 function checkDelays(bundle: Bundle): readonly DocumentFault[] {
   const domains = bundle.failure_domains.map(({ name }) => name);
   return bundle.failure_domains.flatMap((domain, index) =>
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -3,7 +3,7 @@
  * connection carries one request at a time and stays open while idle. It is
  * not reused after a malformed, truncated, unframed or aborted response.
  */
-import { Effect, isAddress, RemoteError } from "@trefoildoor/core";
+import { Effect, isIpv4Address, RemoteError } from "@trefoildoor/core";
 import type { Client as UndiciClient, Dispatcher } from "undici";
 import Client from "undici/lib/dispatcher/client.js";
 import { createBody } from "./channel_body.ts";
@@ -159,7 +159,7 @@
 
   return {
     async exchange(address, request): Promise<ChannelAnswer> {
-      if (!isAddress(address)) throw createAddressError(address);
+      if (!isIpv4Address(address)) throw createAddressError(address);
       const channel = claimChannel(address, request.maxIdleMs);
       return await runExchange(channel, request, {
         onFree: releaseChannel,
@@ -178,7 +178,7 @@
       for (const channel of pooled) closeChannel(channel);
     },
     probe: async (address, timeoutMs) =>
-      isAddress(address) && await canConnect(address, timeoutMs, options),
+      isIpv4Address(address) && await canConnect(address, timeoutMs, options),
     close(): void {
       closed = true;
       for (const channel of [...idle.values()].flat()) closeChannel(channel);
--- a/packages/node/src/entry/digest_codec.ts
+++ b/packages/node/src/entry/digest_codec.ts
@@ -4,7 +4,7 @@
  * as creating a decompressor costs more than decoding a digest.
  */
 import { deflateSync, inflateSync } from "node:zlib";
-import { isAddress, type PeerDigest } from "@trefoildoor/core";
+import { isIpv4Address, type PeerDigest } from "@trefoildoor/core";
 
 /** A digest as sent in a datagram. */
 export interface RelayedDigest extends PeerDigest {
@@ -67,5 +67,5 @@
   if (typeof digest !== "object" || digest === null) return false;
   const { name, address, loads } = digest as Partial<PeerDigest>;
   return typeof name === "string" && typeof address === "string" &&
-    isAddress(address) && typeof loads === "object" && loads !== null;
+    isIpv4Address(address) && typeof loads === "object" && loads !== null;
 }
--- a/packages/node/src/entry/settings.ts
+++ b/packages/node/src/entry/settings.ts
@@ -1,10 +1,13 @@
 /** Schema of the settings file of an entry, the process that forwards calls. docs/ENTRY_SETTINGS.md is generated from it. */
 import { readFileSync } from "node:fs";
-import { type Finding, isAddress, parseDocument } from "@trefoildoor/core";
+import { type Finding, isIpv4Address, parseDocument } from "@trefoildoor/core";
 import { type Either, Left } from "purify-ts";
 import { z } from "zod";
 
-const address = z.string().refine(isAddress, "is not an IP number and port");
+const address = z.string().refine(
+  isIpv4Address,
+  "is not an IP number and port",
+);
 
 const repeatsSchema = z.strictObject({
   ratio: z.number().min(0).max(1).default(0.2).describe(
--- a/packages/node/src/process/instance.ts
+++ b/packages/node/src/process/instance.ts
@@ -27,6 +27,7 @@
   type LoadReport,
   logEvent,
   type Membership,
+  membershipEvents,
   type OpenEndpointClients,
   openEndpointClients,
   openLogService,
@@ -101,7 +102,10 @@
   // Every task and connection adds a listener, more than Node's default limit allows.
   setMaxListeners(0, abortController.signal);
   const log = openLogService({ address: settings.platform.log });
-  const memberList = openMemberList({ address: settings.platform.members });
+  const memberList = openMemberList({
+    address: settings.platform.members,
+    onUnusable: (entry) => logEvent(membershipEvents.memberUnusable, { entry }),
+  });
   const weights = openWeightStore({ address: settings.platform.weights });
   const members = createMembership(memberList.listMembers, {
     ownAddress: peerAddress,
--- a/packages/standins/src/member_list/member_list_standin.steps.ts
+++ b/packages/standins/src/member_list/member_list_standin.steps.ts
@@ -1,6 +1,8 @@
 /** Steps of `member_list_standin.feature`. */
+import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import {
+  type Member,
   MemberKind,
   MemberState,
   openMemberList,
@@ -17,6 +19,7 @@
 interface ListWorld {
   listStandin: MemberListStandin;
   listClient: ReturnType<typeof openMemberList>;
+  oddEntries: string[];
   listAnswers: unknown[];
   markedMs: number;
   lagMs: number;
@@ -43,13 +46,44 @@
         address: "127.0.0.1:7000",
       }],
     });
+    this.oddEntries = [];
     this.listClient = openMemberList({
       address: this.listStandin.address,
       timeoutMs: clientTimeoutMs,
+      onUnusable: (why) => void this.oddEntries.push(why),
     });
   },
 );
 
+When("odd entries are listed beside it", function (this: ListWorld): void {
+  const [sound] = this.listStandin.listMembers();
+  const entries: readonly unknown[] = [
+    { ...sound, name: "odd-port", address: "127.0.0.1:99999" },
+    { ...sound, name: "odd-kind", kind: "unknown" },
+    { ...sound, name: "odd-state", state: 1 },
+    { ...sound, name: "odd-peers", peerAddress: "127.0.0.1" },
+    JSON.parse("[".repeat(1_000) + "]".repeat(1_000)),
+  ];
+  for (const entry of entries) this.listStandin.add(entry as Member);
+});
+
+Then("the list client reads only {string}, twice", async function (
+  this: ListWorld,
+  name: string,
+): Promise<void> {
+  for (let read = 0; read < 2; read++) {
+    const members = await this.listClient.listMembers();
+    assert.deepEqual(members.map((member) => member.name), [name]);
+  }
+});
+
+Then("the list client has told of {int} odd entries", function (
+  this: ListWorld,
+  count: number,
+): void {
+  assert.equal(this.oddEntries.length, count);
+});
+
 When(
   "the list marks {string} as leaving",
   function (this: ListWorld, name: string): void {
