Pass streams without a length on in chunks, so that an end of a process shows

Cause: an answer without a length went on as it came and ended with the caller's connection. The kernel closes the connections of a process that ends, of the entry or of the server, in order, which looks like the regular end.

Change: streams go to callers in chunks. After an answer without a length the entry tries to connect to its endpoint; if nothing listens, the process has ended and the answer counts as broken off. Between instances, handed-over answers come in chunks or with a length. A stop that cuts answers, and an end by an error, reset connections on which an answer would look complete (HTTP/1.0).

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -23,7 +23,7 @@
   streamEvents,
   type StreamOrigin,
 } from "../../process/streams/index.ts";
-import { closeAnswer } from "./answer_body.ts";
+import { buildMalformed, closeAnswer } from "./answer_body.ts";
 import { buildEndpointFailed, buildNotRun } from "./ends.ts";
 import { forwardEvents } from "./events.ts";
 import type {
@@ -179,6 +179,16 @@
   throw new WrongAnswerError(wrong);
 }
 
+/** Rejects if an answer without a length may have ended because its endpoint's process did. */
+export async function confirmWhole(
+  { parts }: CallState,
+  endpoint: ListedEndpoint,
+  { framed }: EndpointAnswer,
+): Promise<void> {
+  if (framed || !await parts.sender.hasEnded(endpoint)) return;
+  throw buildMalformed("endpoint ended with an answer without a length");
+}
+
 function recordLimit(
   { call, parts, route }: CallState,
   { endpoint, exportOnly }: SendParameters,
--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -77,6 +77,8 @@
   readonly released: string[];
   /** Names of endpoints with an open connection. */
   readonly connected: Set<string>;
+  /** Names of endpoints whose process has ended. */
+  readonly ended: Set<string>;
   readonly sender: EndpointSender;
 }
 
@@ -88,11 +90,13 @@
   const sends: FakeSend[] = [];
   const released: string[] = [];
   const connected = new Set<string>();
+  const ended = new Set<string>();
   return {
     scripts,
     sends,
     released,
     connected,
+    ended,
     sender: {
       send: (call, facts, { signal }) => {
         const { name } = facts.endpoint;
@@ -107,6 +111,7 @@
           ? { address, handle: `of ${address}` }
           : undefined,
       isConnected: ({ name }) => connected.has(name),
+      hasEnded: ({ name }) => Promise.resolve(ended.has(name)),
       releaseExport: (_endpoint, { handle }) => void released.push(handle),
     },
   };
--- a/packages/core/src/request/forwarding/forwarding.feature
+++ b/packages/core/src/request/forwarding/forwarding.feature
@@ -236,24 +236,6 @@
       | stops 1-2          | unframed events 3-5 |
       | unframed stops 1-2 | unframed events 3-5 |
 
-  Scenario Outline: A whole stream without a length ends with its connection
-    Given a "<kind>" route over "p1, d1" with 2 endpoints for a call
-    And "d1" answers "unframed events 1-3"
-    When a stream with 100 prompt tokens is forwarded
-    Then the caller gets events 1 to 3 and the end
-    And the caller's answer ends with its connection
-
-    Examples:
-      | kind             |
-      | stream           |
-      | resumable stream |
-
-  Scenario: A stream without a length and without an event is no answer
-    Given a "stream" route over "p1, d1" with 1 endpoints for a call
-    And "d1" answers "unframed nothing"
-    When a stream with 100 prompt tokens is forwarded
-    Then the caller gets status 502
-
   Scenario Outline: A plain answer without end is given up
     Given a "<kind>" route over "e1, e2" with 2 endpoints for a call
     And "e1" answers "<first>"
--- a/packages/core/src/request/forwarding/forwarding.steps.ts
+++ b/packages/core/src/request/forwarding/forwarding.steps.ts
@@ -241,6 +241,18 @@
   assert.deepEqual(this.caller.framing, { untilClose: true });
 });
 
+Then("the caller's answer is in chunks", function (this: ForwardWorld): void {
+  assert.ok(this.caller.status !== undefined);
+  assert.equal(this.caller.framing, undefined);
+});
+
+Given("the process of {string} has ended", function (
+  this: ForwardWorld,
+  name: string,
+): void {
+  this.fake.ended.add(name);
+});
+
 Then("the call at {string} is taken back", function (
   this: ForwardWorld,
   name: string,
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -3,6 +3,7 @@
 import { CallEnd, type OpenCall } from "../../process/fleet/index.ts";
 import { buildMalformed, closeAnswer, readBody } from "./answer_body.ts";
 import {
+  confirmWhole,
   getAgeMs,
   mayRunAgain,
   recordFailure,
@@ -85,6 +86,7 @@
       await state.answer.write(split.bytes);
     }
     if (!end.isWhole(answer)) throw buildMalformed("stream ended too early");
+    await confirmWhole(state, engine, answer);
     startAnswer(state, answer);
   } finally {
     clearTimeout(idleTimer);
@@ -101,12 +103,10 @@
   if (began !== undefined) parts.origins.recordBegun(began, engine);
 }
 
-function startAnswer(
-  state: StreamState,
-  { head, framed }: EndpointAnswer,
-): void {
+/** Begins the caller's answer, in chunks also where the engine's has no length: one that ends with its connection would look complete if this process ended. */
+function startAnswer(state: StreamState, { head }: EndpointAnswer): void {
   if (state.answer.isStarted()) return;
-  state.answer.start(head.status, head.headers, { untilClose: !framed });
+  state.answer.start(head.status, head.headers);
   state.firstByteMs = getAgeMs(state);
 }
 
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -13,6 +13,7 @@
   allowSend,
   type CallState,
   classifyRefusal,
+  confirmWhole,
   getAgeMs,
   getLeftMs,
   isUnsent,
@@ -117,6 +118,7 @@
       return { answer, body: Buffer.alloc(0), endpoint };
     }
     const body = await readBody(answer);
+    await confirmWhole(state, endpoint, answer);
     if (isServerError({ answer })) {
       end = CallEnd.Failed;
     } else {
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -58,6 +58,8 @@
     endpoint: ListedEndpoint,
     options?: { readonly maxIdleMs?: number },
   ) => boolean;
+  /** Whether the endpoint's process has certainly ended, as nothing listens at its address; resolves in a fraction of a second. */
+  readonly hasEnded: (endpoint: ListedEndpoint) => Promise<boolean>;
   /** Decodes the handle in the answer to an export; undefined if the answer contains none. */
   readonly decodeExport: (
     endpoint: ListedEndpoint,
@@ -74,7 +76,7 @@
 export interface AnswerFraming {
   /** Length of the body, in bytes. */
   readonly length?: number;
-  /** Whether the body ends when the connection closes, as in the endpoint's answer. */
+  /** Whether the body ends when the connection closes, as in the endpoint's answer. Only for bodies that are written at once: a process that ends while it writes closes its connections as well. */
   readonly untilClose?: boolean;
 }
 
--- a/packages/node/src/entry/accept_hand_over.ts
+++ b/packages/node/src/entry/accept_hand_over.ts
@@ -103,7 +103,10 @@
       }
       open += 1;
       response.once("close", () => open -= 1);
-      const answer = createAnswer(response, { isLeaving: () => false });
+      const answer = createAnswer(response, {
+        isLeaving: () => false,
+        unframedHeader: LinkHeader.Unframed,
+      });
       runCall(request, { response, answer }).catch((error: unknown) => {
         if (request.destroyed && !response.writable) return;
         options.logEvent(entryEvents.handlerFailed, { error: String(error) });
--- a/packages/node/src/entry/channel_sockets.ts
+++ b/packages/node/src/entry/channel_sockets.ts
@@ -47,22 +47,34 @@
   return open({ host, port: Number(port), noDelay: true });
 }
 
-/** Tries to open a connection, which is closed again; false if that fails or takes longer than `timeoutMs`. */
-export function canConnect(
+/** Result of an attempt to open a connection. */
+export enum ProbeResult {
+  Opened = "opened",
+  /** Nothing listens at the address. */
+  Refused = "refused",
+  Failed = "failed",
+}
+
+/** Tries to open a connection, which is closed again; fails after `timeoutMs`. */
+export function tryConnection(
   address: string,
   timeoutMs: number,
   options: ChannelsOptions,
-): Promise<boolean> {
+): Promise<ProbeResult> {
   return new Promise((resolve) => {
     const socket = createSocket(address, options);
-    const end = (reached: boolean): void => {
+    const end = (result: ProbeResult): void => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(reached);
+      resolve(result);
     };
-    const timer = setTimeout(() => end(false), timeoutMs);
-    socket.once("error", () => end(false));
-    socket.once("connect", () => end(true));
+    const timer = setTimeout(() => end(ProbeResult.Failed), timeoutMs);
+    socket.once(
+      "error",
+      ({ code }: NodeJS.ErrnoException) =>
+        end(code === "ECONNREFUSED" ? ProbeResult.Refused : ProbeResult.Failed),
+    );
+    socket.once("connect", () => end(ProbeResult.Opened));
   });
 }
 
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -4,6 +4,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { Effect, RemoteError, waitFor } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
+import { ProbeResult } from "./channel_sockets.ts";
 import { type ChannelAnswer, type Channels, createChannels } from "./index.ts";
 
 /** State of one scenario. */
@@ -89,7 +90,10 @@
   this: ChannelsWorld,
   address: string,
 ): Promise<void> {
-  assert.equal(await this.channels?.probe(address, settleMs), false);
+  assert.equal(
+    await this.channels?.probe(address, settleMs),
+    ProbeResult.Failed,
+  );
 });
 
 Given(
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -14,12 +14,13 @@
   createRefusal,
 } from "./channel_errors.ts";
 import {
-  canConnect,
   type ChannelObserver,
   type ChannelsOptions,
   type ConnectingChannel,
   openSocket,
+  ProbeResult,
   type SocketCallback,
+  tryConnection,
 } from "./channel_sockets.ts";
 
 /** One HTTP request. */
@@ -62,8 +63,8 @@
   readonly hasIdle: (address: string, maxIdleMs?: number) => boolean;
   /** Closes idle connections to an address that is no longer used. */
   readonly closeIdle: (address: string) => void;
-  /** Tries to open a connection, which is closed again; false if that fails or takes longer than `timeoutMs`. */
-  readonly probe: (address: string, timeoutMs: number) => Promise<boolean>;
+  /** Tries to open a connection, which is closed again; fails after `timeoutMs`. */
+  readonly probe: (address: string, timeoutMs: number) => Promise<ProbeResult>;
   readonly close: () => void;
   readonly countOpened: () => number;
 }
@@ -178,7 +179,9 @@
       for (const channel of pooled) closeChannel(channel);
     },
     probe: async (address, timeoutMs) =>
-      isIpv4Address(address) && await canConnect(address, timeoutMs, options),
+      isIpv4Address(address)
+        ? await tryConnection(address, timeoutMs, options)
+        : ProbeResult.Failed,
     close(): void {
       closed = true;
       for (const channel of [...idle.values()].flat()) closeChannel(channel);
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -5,11 +5,13 @@
   ListedEndpoint,
   LogEvent,
 } from "@trefoildoor/core";
+import { ProbeResult } from "./channel_sockets.ts";
 import type { Channels } from "./channels.ts";
 import { entryEvents } from "./events.ts";
 import type { CallCodec } from "./platform.ts";
 
 const releaseTimeoutMs = 1_000;
+const probeTimeoutMs = 200;
 
 /**
  * Resolves after the event loop has polled all connections once more. A process
@@ -62,6 +64,8 @@
     },
     isConnected: ({ address }, { maxIdleMs } = {}) =>
       channels.hasIdle(address, maxIdleMs),
+    hasEnded: async ({ address }) =>
+      await channels.probe(address, probeTimeoutMs) === ProbeResult.Refused,
     decodeExport: codec.decodeExport,
     releaseExport(endpoint, exported): void {
       channels.exchange(endpoint.address, {
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -32,6 +32,8 @@
   readonly startLeaving: () => void;
   /** Closes the listener and idle connections; requests in progress are still answered. */
   readonly stopAccepting: () => void;
+  /** Cuts the answers in progress, so that none looks complete when the process ends. */
+  readonly abortAnswers: () => void;
 }
 
 /** Address of the server and its callbacks. */
@@ -68,6 +70,7 @@
   let leaving = false;
   let accepting = true;
   const idleSockets = new Set<Socket>();
+  const answers = new Set<CallerAnswer>();
   const server = createServer({
     keepAlive: true,
     noDelay: true,
@@ -93,6 +96,8 @@
       if (!accepting) socket.destroySoon();
     });
     const answer = createAnswer(response, { isLeaving: () => leaving });
+    answers.add(answer);
+    response.once("close", () => answers.delete(answer));
     try {
       const body = await readBody(request, limits.maxBodyBytes);
       if (body === undefined) return rejectLarge(request, response);
@@ -125,6 +130,9 @@
       limits = applied;
       applyTimeouts(server, applied);
     },
+    abortAnswers(): void {
+      for (const answer of answers) if (answer.isStarted()) answer.cut();
+    },
     startLeaving(): void {
       leaving = true;
     },
@@ -182,10 +190,15 @@
   response.end(() => request.destroy());
 }
 
-/** Writes the answer to a response; `isLeaving` says whether its connection is to close after it. */
+/** Writes the answer to a response. */
 export function createAnswer(
   response: ServerResponse,
-  options: { readonly isLeaving: () => boolean },
+  options: {
+    /** Whether the connection is to close after the answer. */
+    readonly isLeaving: () => boolean;
+    /** Header that tells a peer of a body that would end with the connection; the body is then sent in chunks. */
+    readonly unframedHeader?: string;
+  },
 ): CallerAnswer {
   const left = new AbortController();
   let endsOnClose = false;
@@ -204,9 +217,16 @@
     start(status, headers, { length, untilClose = false } = {}): void {
       const all = [...headers];
       if (length !== undefined) all.push("content-length", String(length));
-      if (untilClose) response.useChunkedEncodingByDefault = false;
-      endsOnClose = untilClose;
-      if (untilClose || options.isLeaving()) all.push("connection", "close");
+      const { unframedHeader } = options;
+      const endsWithConnection = untilClose && unframedHeader === undefined;
+      if (untilClose && unframedHeader) all.push(unframedHeader, "1");
+      if (endsWithConnection) response.useChunkedEncodingByDefault = false;
+      // Callers of HTTP/1.0 know no chunks.
+      endsOnClose = length === undefined &&
+        !response.useChunkedEncodingByDefault;
+      if (endsWithConnection || options.isLeaving()) {
+        all.push("connection", "close");
+      }
       response.writeHead(status, all);
       response.flushHeaders();
     },
--- a/packages/node/src/entry/hand_over.ts
+++ b/packages/node/src/entry/hand_over.ts
@@ -198,11 +198,18 @@
   const { status } = received;
   const headers = pickPassedHeaders(received.headers);
   const length = findHeader(received.headers, "content-length");
-  if (length !== undefined && Number(length) <= maxHeldBytes) {
+  const unframed = findHeader(received.headers, LinkHeader.Unframed) !==
+    undefined;
+  const short = length !== undefined && Number(length) <= maxHeldBytes;
+  if (unframed || short) {
     const chunks: Buffer[] = [];
     for await (const chunk of received.body) chunks.push(chunk);
     const body = Buffer.concat(chunks);
-    answer.start(status, headers, { length: body.length });
+    answer.start(
+      status,
+      headers,
+      unframed ? { untilClose: true } : { length: body.length },
+    );
     void answer.write(body);
   } else {
     for await (const chunk of received.body) {
@@ -223,7 +230,6 @@
     if (answer.isStarted()) return;
     answer.start(status, headers, {
       length: length === undefined ? undefined : Number(length),
-      untilClose: !received.framed,
     });
   }
 }
--- a/packages/node/src/entry/hand_over_wire.ts
+++ b/packages/node/src/entry/hand_over_wire.ts
@@ -10,6 +10,8 @@
   AgeMs = "trefoildoor-age-ms",
   /** On answers: the instance did not take the call, and why. */
   Refused = "trefoildoor-refused",
+  /** On answers: the endpoint's answer had no length; between instances it comes in chunks, so that a break shows. */
+  Unframed = "trefoildoor-unframed",
 }
 
 const linkPrefix = "trefoildoor-";
--- a/packages/node/src/entry/run_entry.ts
+++ b/packages/node/src/entry/run_entry.ts
@@ -74,6 +74,7 @@
     });
     process.on("uncaughtException", (error) => {
       logEvent(entryEvents.crashed, { error: error.stack ?? String(error) });
+      entry.abortAnswers();
       void writer.flush().finally(() => process.exit(failureExitCode));
     });
   } catch (error) {
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -16,7 +16,7 @@
   waitFor,
   watchEndpointLinks,
 } from "@trefoildoor/core";
-import type { ChannelsOptions } from "./channel_sockets.ts";
+import { type ChannelsOptions, ProbeResult } from "./channel_sockets.ts";
 import { type Channels, createChannels } from "./channels.ts";
 import { createEndpointSender } from "./endpoint_sender.ts";
 import { type EntryRoles, startRoles } from "./entry_roles.ts";
@@ -39,6 +39,8 @@
 export interface Entry {
   /** Stops accepting requests, waits for open requests until shortly before the platform kills the process (`stop.grace_s`), and closes all connections. */
   readonly stop: () => Promise<void>;
+  /** Cuts the answers in progress before the process ends for an error. */
+  readonly abortAnswers: () => void;
 }
 
 /** Dependencies of an entry besides its settings. */
@@ -87,7 +89,10 @@
     peers: settings.peers,
     startMs: Math.round(performance.now()),
   });
-  return { stop: () => stopEntry(running, { peerLink, readiness }) };
+  return {
+    stop: () => stopEntry(running, { peerLink, readiness }),
+    abortAnswers: () => state.front?.abortAnswers(),
+  };
 }
 
 async function createRunning(
@@ -155,7 +160,8 @@
       fleet.endpoints.listAll().flatMap(({ address, leaving }) =>
         leaving ? [] : [address]
       ),
-    probe: channels.probe,
+    probe: async (address, timeoutMs) =>
+      await channels.probe(address, timeoutMs) === ProbeResult.Opened,
     onChange(cut): void {
       state.peerLink?.scheduleDigest();
       // Connections of the time before the cut may never answer again.
@@ -326,6 +332,7 @@
     performance.now() - stopRequestedMs < drainTimeoutMs
   ) await waitFor(drainCheckIntervalMs);
   const cut = front?.countOpen();
+  front?.abortAnswers();
   shutdown.abort();
   readiness.close();
   peerLink.close();
