Give every call to the store and to peers a timer of its own

Cause: the read had no timeout. Others had one by AbortSignal.any and AbortSignal.timeout, which never aborts in Node.js 20.19 if memory is collected meanwhile (a script of three lines: not aborted after 1 s of 50 ms): appends, crash evidence, versions, a peer's state, the question for a stream's origin.

Change: runWithTimeout gives a call a timer and leaves no listener behind. The daemon's clients had timers of their own.

The fetch of peers' content has a file of its own.

--- a/packages/core/src/process/fleet/duty.feature
+++ b/packages/core/src/process/fleet/duty.feature
@@ -47,3 +47,17 @@
     When the store of the duty is down
     And "a" claims the duty
     Then the fencing numbers are "a none"
+
+  # Guards against a call to the store without an answer, after which nobody claims the duty any more.
+  Scenario Outline: A call to the store that is never answered ends the claim, not the duty
+    Given instances "a, b" with a duty whose lease is 3000 ms
+    And the store never answers the next <call> of the duty
+    When "a" begins to claim the duty
+    And 2000 ms pass for the duty
+    And "a" claims the duty
+    Then the fencing numbers are "a none, a 1"
+
+    Examples:
+      | call   |
+      | read   |
+      | append |
--- a/packages/core/src/process/fleet/duty.steps.ts
+++ b/packages/core/src/process/fleet/duty.steps.ts
@@ -2,6 +2,7 @@
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import { waitFor } from "../../shared/index.ts";
 import {
   Effect,
   RemoteError,
@@ -25,6 +26,8 @@
   newestTerm?: DutyTerm;
   storeDown: boolean;
   losesAnswer: boolean;
+  /** Kind of the call that is never answered. */
+  unanswered?: string;
 }
 
 After(function (this: DutyWorld): void {
@@ -52,11 +55,27 @@
     if (world.storeDown) throw buildFailure(Effect.None);
     return buildPage(from);
   }
+  /** Waits until the signal aborts if this call is the one without an answer. */
+  async function waitIfUnanswered(
+    call: string,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    if (world.unanswered !== call) return;
+    world.unanswered = undefined;
+    await waitFor(1e6, signal);
+    throw buildFailure(Effect.Unknown);
+  }
   return {
-    fetchNewest: () => readFrom(0),
+    async fetchNewest(signal): Promise<TopicPage<DutyClaim>> {
+      await waitIfUnanswered("read", signal);
+      return await readFrom(0);
+    },
     read: (from) => readFrom(from),
-    async append({ value }, { ifEnd } = {}): Promise<number | undefined> {
-      await Promise.resolve();
+    async append(
+      { value },
+      { ifEnd, signal } = {},
+    ): Promise<number | undefined> {
+      await waitIfUnanswered("append", signal);
       if (world.storeDown) throw buildFailure(Effect.None);
       if (ifEnd !== undefined && ifEnd !== world.claims.length) {
         return undefined;
@@ -69,6 +88,20 @@
   };
 }
 
+Given("the store never answers the next {word} of the duty", function (
+  this: DutyWorld,
+  call: string,
+): void {
+  this.unanswered = call;
+});
+
+When("{string} begins to claim the duty", function (
+  this: DutyWorld,
+  name: string,
+): void {
+  void claimDuty(this, name);
+});
+
 async function claimDuty(world: DutyWorld, name: string): Promise<void> {
   const term = await world.duties.get(name)?.claim();
   if (term) world.newestTerm = term;
--- a/packages/core/src/process/fleet/duty.ts
+++ b/packages/core/src/process/fleet/duty.ts
@@ -5,7 +5,7 @@
  * last read; the offset after it is the fencing number. Each round of work
  * makes its own claim, so that no lease is renewed while there is no work.
  */
-import { type LogEvent, logEvent } from "../../shared/index.ts";
+import { type LogEvent, logEvent, runWithTimeout } from "../../shared/index.ts";
 import {
   type InstanceName,
   RemoteError,
@@ -47,6 +47,8 @@
 
 /** Length of a term as a share of the lease, counted from the time before its claim is sent. */
 const termShare = 1 / 3;
+/** Timeout of each call to the store, in ms. */
+const timeoutMs = 1_500;
 /** Leases for which a claim blocks other instances, from when they read it: its term and a whole lease after it, which leaves time for late orders. */
 const blockingLeases = 2;
 
@@ -67,9 +69,13 @@
 
   async function fetchPage(): Promise<TopicPage<DutyClaim>> {
     try {
-      return started
-        ? await topic.read(next, { waitMs: 0, signal: options.signal })
-        : await topic.fetchNewest(options.signal);
+      return await runWithTimeout(
+        (signal) =>
+          started
+            ? topic.read(next, { waitMs: 0, signal })
+            : topic.fetchNewest(signal),
+        { timeoutMs, signal: options.signal },
+      );
     } catch (error) {
       const expired = error instanceof RemoteError &&
         error.failure === RemoteFailure.Expired;
@@ -116,10 +122,12 @@
       }
       const sentMs = performance.now();
       const sentDateMs = Date.now();
-      const offset = await topic.append({
-        key: options.name,
-        value: { holder: options.instance },
-      }, { ifEnd: next, signal: options.signal });
+      const value = { holder: options.instance };
+      const offset = await runWithTimeout(
+        (signal) =>
+          topic.append({ key: options.name, value }, { ifEnd: next, signal }),
+        { timeoutMs, signal: options.signal },
+      );
       if (offset === undefined) return refuse("another claim came first");
       next = offset + 1;
       newest = { holder: options.instance, readMs: performance.now() };
--- a/packages/core/src/process/streams/version_record.ts
+++ b/packages/core/src/process/streams/version_record.ts
@@ -7,7 +7,7 @@
  * again is written again, which defeats a removal under way. No clock of another
  * process takes part.
  */
-import { type LogEvent, waitFor } from "../../shared/index.ts";
+import { type LogEvent, runWithTimeout, waitFor } from "../../shared/index.ts";
 import type {
   ListedEndpoint,
   ServiceName,
@@ -79,9 +79,10 @@
 
   async function read(): Promise<Map<string, StoredVersion>> {
     lost = false;
-    const page = await topic.fetchNewest(
-      AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]),
-    );
+    const page = await runWithTimeout(topic.fetchNewest, {
+      timeoutMs,
+      signal,
+    });
     const nowMs = performance.now();
     const former = stored;
     next = page.next;
--- a/packages/core/src/shared/index.ts
+++ b/packages/core/src/shared/index.ts
@@ -5,3 +5,4 @@
 export * from "./events.ts";
 export * from "./similar_names.ts";
 export * from "./sleep.ts";
+export * from "./timeouts.ts";
--- a/packages/node/src/entry/crash_record.ts
+++ b/packages/node/src/entry/crash_record.ts
@@ -6,6 +6,7 @@
   crashEvents,
   type CrashWatch,
   type LogEvent,
+  runWithTimeout,
   type StoredCrashes,
   waitFor,
   type WritableTopic,
@@ -43,9 +44,10 @@
   let writing = false;
 
   async function readAll(): Promise<void> {
-    const { records } = await topic.fetchNewest(
-      AbortSignal.any([signal, AbortSignal.timeout(readTimeoutMs)]),
-    );
+    const { records } = await runWithTimeout(topic.fetchNewest, {
+      timeoutMs: readTimeoutMs,
+      signal,
+    });
     for (const { key, value } of records) {
       if (!value) continue;
       const own = key === options.instance;
--- a/packages/node/src/entry/peer_link.ts
+++ b/packages/node/src/entry/peer_link.ts
@@ -34,6 +34,7 @@
   encodeNearDigests,
   type RelayedDigest,
 } from "./digest_codec.ts";
+import { fetchContent } from "./fetch_content.ts";
 import { listen, maxHeaderSizeBytes } from "./front_server.ts";
 import { chooseTargets, maxDirectMembers } from "./peer_targets.ts";
 
@@ -106,7 +107,6 @@
 const transitAllowanceMs = 40;
 const maxInitialRotation = 1_024;
 const stateTimeoutMs = 700;
-const maxStateBytes = 8 * 1_048_576;
 const statePath = "/state";
 const originPath = "/origins/";
 /** Instances that are asked where a stream began, and how long, in ms. */
@@ -333,9 +333,9 @@
   options: PeerLinkOptions,
 ): Promise<FleetState> {
   const state = await fetchContent(address, {
+    ...options,
     path: statePath,
     timeoutMs: stateTimeoutMs,
-    options,
   });
   return state as FleetState;
 }
@@ -356,9 +356,9 @@
   const asked = [...new Set([...first, ...live])].slice(0, maxAsked);
   const answers = asked.map(async ({ address }) =>
     await fetchContent(address, {
+      ...options,
       path: `${originPath}${encodeURIComponent(key)}`,
       timeoutMs: originTimeoutMs,
-      options,
     }) as StreamOrigin
   );
   try {
@@ -367,31 +367,3 @@
     return undefined;
   }
 }
-
-async function fetchContent(
-  address: string,
-  { path, timeoutMs, options }: {
-    readonly path: string;
-    readonly timeoutMs: number;
-    readonly options: PeerLinkOptions;
-  },
-): Promise<unknown> {
-  const answer = await options.channels.exchange(address, {
-    method: "GET",
-    path,
-    headers: [],
-    signal: AbortSignal.any([
-      options.signal,
-      AbortSignal.timeout(timeoutMs),
-    ]),
-  });
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of answer.body) {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    if (bytes > maxStateBytes) throw new Error("state of a peer is too large");
-  }
-  if (answer.status !== ok) throw new Error(`peer answered ${answer.status}`);
-  return JSON.parse(Buffer.concat(chunks).toString());
-}
