--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -4,7 +4,12 @@
  * Periodic reads suit topics that change all the time, where a long poll would
  * return at once.
  */
-import { type LogEvent, logEvent, waitFor } from "../../shared/index.ts";
+import {
+  type LogEvent,
+  logEvent,
+  runWithTimeout,
+  waitFor,
+} from "../../shared/index.ts";
 import {
   type ReadableTopic,
   RemoteError,
@@ -43,7 +48,7 @@
 }
 
 /** Position and freshness of a followed topic. */
-export interface FollowedTopic {
+export interface FollowedTopic<Value = unknown> {
   /** Offset of the next read; 0 before the first. */
   readonly getNext: () => number;
   /** Age of the known state, in ms: time since the last successful read, by this instance or a peer, counted from when a periodic read was sent or a long poll answered. */
@@ -56,6 +61,11 @@
   readonly isReadable: () => boolean;
   /** Continues from an offset that a peer has read `ageMs` ago; a lower offset than the current one changes nothing. */
   readonly advanceTo: (next: number, ageMs?: number) => void;
+  /**
+   * Reads what the store has accepted until now, beside the regular reads, and
+   * applies it; resolves to the records, or to undefined if they cannot be read.
+   */
+  readonly readNow: () => Promise<readonly TopicRecord<Value>[] | undefined>;
   /** Records that the store came back from an older copy, as after an outage. */
   readonly markRestored: () => void;
   /** Aborts the current read, whose connection may be dead, and reads again after a backoff. */
@@ -63,6 +73,8 @@
 }
 
 const defaultAnswerTimeoutMs = 1_000;
+/** Timeout of a read beside the regular ones, in ms: a call of a caller waits for it. */
+const readNowTimeoutMs = 300;
 /**
  * Age of the known state above which a failed read shows an outage, in ms:
  * longer than the delay of a late read, shorter than the time in which entries
@@ -81,7 +93,7 @@
 export function followTopic<Value>(
   topic: ReadableTopic<Value>,
   options: FollowTopicOptions<Value>,
-): FollowedTopic {
+): FollowedTopic<Value> {
   const { signal } = options;
   const log = options.logEvent ?? logEvent;
   const random = options.random ?? Math.random;
@@ -103,12 +115,20 @@
     const sentMs = performance.now();
     const fetchedNewest = needsNewest;
     const page = await fetchPage();
-    // `advanceTo` may have moved the offset while the read was held.
+    if (fetchedNewest) recordReadAhead(page);
+    const atMs = options.longPollMs > 0 ? performance.now() : sentMs;
+    applyPage(page, { whole: fetchedNewest, atMs });
+  }
+
+  /** Applies a page whose content is as of `atMs`. */
+  function applyPage(
+    page: TopicPage<Value>,
+    { whole, atMs }: { readonly whole: boolean; readonly atMs: number },
+  ): void {
+    // The offset may have moved while the page was read.
     const records = page.records.filter(({ key, offset }) =>
-      fetchedNewest ||
-      offset >= next && offset > (readAhead.get(key) ?? -Infinity)
+      whole || offset >= next && offset > (readAhead.get(key) ?? -Infinity)
     );
-    if (fetchedNewest) recordReadAhead(page);
     needsNewest = false;
     const regained = !readable;
     if (regained) {
@@ -117,9 +137,9 @@
     readable = true;
     failures = 0;
     recordRecovery();
-    readMs = options.longPollMs > 0 ? performance.now() : sentMs;
+    readMs = Math.max(readMs, atMs);
     const { era } = page;
-    const applied = { records, next: page.next, era, whole: fetchedNewest };
+    const applied = { records, next: page.next, era, whole };
     next = Math.max(next, page.next);
     options.onPage(applied);
     if (regained) options.onRegained?.();
@@ -207,6 +227,24 @@
     }
   }
 
+  async function readChanges(): Promise<
+    readonly TopicRecord<Value>[] | undefined
+  > {
+    if (needsNewest) return undefined;
+    const atMs = performance.now();
+    try {
+      const page = await runWithTimeout(
+        (bounded) => topic.read(next, { waitMs: 0, signal: bounded }),
+        { timeoutMs: readNowTimeoutMs, signal },
+      );
+      applyPage(page, { whole: false, atMs });
+      return page.records;
+    } catch {
+      // The regular reads report failures.
+      return undefined;
+    }
+  }
+
   function addJitter(ms: number): number {
     return ms * (1 + jitterShare * (random() - 0.5));
   }
@@ -231,6 +269,7 @@
       next = offset;
       needsNewest = false;
     },
+    readNow: createSharedCall(readChanges),
     markRestored: () => {
       recoveredMs = performance.now();
     },
@@ -241,6 +280,30 @@
   };
 }
 
+/** Lets callers that come while a call is under way share the next one, which begins after they came. */
+function createSharedCall<Result>(
+  call: () => Promise<Result>,
+): () => Promise<Result> {
+  let current: Promise<Result> | undefined;
+  let following: Promise<Result> | undefined;
+
+  function start(): Promise<Result> {
+    current = call().finally(() => {
+      current = undefined;
+    });
+    return current;
+  }
+
+  return () => {
+    if (!current) return start();
+    following ??= current.then(() => {
+      following = undefined;
+      return start();
+    });
+    return following;
+  };
+}
+
 /** Keeps only the newest record of each key, in order of offsets. */
 export function pickNewest<Value>(
   records: readonly TopicRecord<Value>[],
--- a/packages/core/src/process/streams/stream_origins.ts
+++ b/packages/core/src/process/streams/stream_origins.ts
@@ -64,6 +64,12 @@
   readonly getListAgeMs: () => number;
   /** Versions of a service in the stored record, which others may have written; undefined before it was read. */
   readonly listStored: (service: ServiceName) => readonly string[] | undefined;
+  /**
+   * Reads what the store has accepted of the list until now; resolves to the
+   * endpoints that were listed since the last read, or to undefined if the
+   * store cannot be read.
+   */
+  readonly readChanges: () => Promise<readonly ListedEndpoint[] | undefined>;
   /** Asks peers for the origin of a stream; resolves to undefined if none of them knows it. */
   readonly askPeers: (key: string) => Promise<StreamOrigin | undefined>;
   readonly logEvent?: LogEvent;
@@ -136,8 +142,11 @@
     return origin;
   }
 
-  /** Versions that may have begun a stream within the retention, and whether these are all. */
-  function listCandidates(services: readonly ServiceName[]): {
+  /** Versions that may have begun a stream within the retention, and whether these are all; `changed` are endpoints that may have left again. */
+  function listCandidates(
+    services: readonly ServiceName[],
+    changed: readonly ListedEndpoint[],
+  ): {
     readonly candidates: readonly StreamOrigin[];
     readonly complete: boolean;
   } {
@@ -145,6 +154,9 @@
     const candidates = services.flatMap((service) => {
       const versions = new Set(history.list(service));
       for (const each of options.listStored(service) ?? []) versions.add(each);
+      for (const each of changed) {
+        if (each.service === service) versions.add(each.softwareVersion ?? "");
+      }
       return [...versions].map((version) => ({ service, version }));
     });
     const complete = watchedMs >= originRetentionMs ||
@@ -175,12 +187,16 @@
       const origin = resumes === undefined
         ? undefined
         : await findOrAsk(computeKey(resumes));
+      // The own list may lack a version that peers know, for instance after a
+      // suspension, in which the steady clock stands still as well.
+      const changed = origin ? [] : await options.readChanges();
       const nowMs = performance.now();
-      const { candidates, complete } = listCandidates(services);
+      const { candidates, complete } = listCandidates(services, changed ?? []);
       const fields = {
         call,
         resumes,
         versions: candidates.map(({ version }) => version).join(" "),
+        changesRead: changed !== undefined,
         listAgeMs: Math.round(Math.min(options.getListAgeMs(), 1e9)),
         sinceStartMs: Math.round(nowMs - startedMs),
       };
@@ -196,7 +212,7 @@
       }
       const [only] = candidates;
       const isSure = candidates.length === 1 && complete &&
-        options.getListAgeMs() <= maxListAgeMs;
+        changed !== undefined && options.getListAgeMs() <= maxListAgeMs;
       log(
         isSure ? streamEvents.originAssumed : streamEvents.originUnknown,
         fields,
--- a/packages/core/src/process/streams/streams.feature
+++ b/packages/core/src/process/streams/streams.feature
@@ -73,3 +73,21 @@
     When 61000 ms pass for the streams
     And 1 streams begin at the first instance
     Then each instance knows at most 1 streams
+
+  # Guards against an instance that is out of step and lacks a version that joined meanwhile.
+  Scenario Outline: A version that the instance has not read yet may have begun a stream that nobody knows
+    Given 3 instances, and a service with the versions "v1"
+    And a stream that no instance knows
+    When an endpoint of the version "<listed>" is listed that no instance has read yet
+    Then the stream <ends>
+
+    Examples:
+      | listed | ends           |
+      | v1     | goes on at v1  |
+      | v2     | must not go on |
+
+  Scenario: While the store cannot be read, a stream that nobody knows must not go on
+    Given 3 instances, and a service with the versions "v1"
+    And a stream that no instance knows
+    When the store cannot be read for the streams
+    Then the stream must not go on
--- a/packages/core/src/process/streams/streams.steps.ts
+++ b/packages/core/src/process/streams/streams.steps.ts
@@ -26,6 +26,8 @@
   listAgeMs: number;
   /** Versions in the stored record; undefined if it cannot be read. */
   stored: readonly string[] | undefined;
+  /** Endpoints that the store lists and the instances have not read yet; undefined if it cannot be read. */
+  unread: readonly ListedEndpoint[] | undefined;
   /** Version that began each stream, by the id of its call. */
   begun: Map<string, string>;
 }
@@ -46,6 +48,7 @@
     this.begun = new Map();
     this.listAgeMs = 0;
     this.stored = [];
+    this.unread = [];
     setVersions(this, versions);
     this.instances = Array.from({ length: count }, () => ({
       origins: openOrigins(this),
@@ -79,6 +82,21 @@
   },
 );
 
+When(
+  "an endpoint of the version {string} is listed that no instance has read yet",
+  function (this: StreamsWorld, softwareVersion: string): void {
+    const [endpoint] = this.endpoints;
+    assert.ok(endpoint);
+    this.unread = [{ ...endpoint, name: "unread", softwareVersion }];
+  },
+);
+
+When("the store cannot be read for the streams", function (
+  this: StreamsWorld,
+): void {
+  this.unread = undefined;
+});
+
 When(
   "the list of endpoints is {int} ms old",
   function (this: StreamsWorld, ageMs: number): void {
@@ -221,6 +239,7 @@
     listEndpoints: () => world.endpoints,
     getListAgeMs: () => world.listAgeMs,
     listStored: () => world.stored,
+    readChanges: () => Promise.resolve(world.unread),
     askPeers: (key) =>
       Promise.resolve(
         world.instances
--- a/packages/core/src/request/forwarding/forward_world.test.ts
+++ b/packages/core/src/request/forwarding/forward_world.test.ts
@@ -97,6 +97,7 @@
     listEndpoints: world.endpoints.listAll,
     getListAgeMs: () => 0,
     listStored: () => [],
+    readChanges: () => Promise.resolve([]),
     askPeers: () => Promise.resolve(undefined),
     logEvent: () => undefined,
   });
--- a/packages/node/src/entry/entry_roles.ts
+++ b/packages/node/src/entry/entry_roles.ts
@@ -6,7 +6,7 @@
   reconcileRoles,
 } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
-import type { FleetView } from "./fleet_view.ts";
+import type { FleetView } from "./fleet_view_types.ts";
 import type { EntryPlatform, StoreTopics } from "./platform.ts";
 import type { EntrySettings } from "./settings.ts";
 
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -12,7 +12,8 @@
 } from "@trefoildoor/core";
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
 import { createChannels } from "./channels.ts";
-import { type FleetView, openFleetView } from "./fleet_view.ts";
+import { openFleetView } from "./fleet_view.ts";
+import type { FleetView } from "./fleet_view_types.ts";
 import type { FleetState } from "./peer_link.ts";
 import { entrySettingsSchema } from "./settings.ts";
 
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -5,7 +5,6 @@
  */
 import {
   buildRouteIndex,
-  type CrashWatch,
   createCrashWatch,
   createEndpointLimits,
   createEndpointList,
@@ -13,55 +12,23 @@
   createListUpdates,
   createPeerRegistry,
   createStreamOrigins,
-  type EndpointLimits,
-  type EndpointList,
-  type EndpointTracker,
   EndSign,
   fleetEvents,
   type FollowedTopic,
   followTopic,
   isTrialOwner,
   keepVersionRecord,
+  type ListedEndpoint,
   originRetentionMs,
   type PeerDigest,
-  type PeerRegistry,
   type RouteIndex,
   type RoutingConfiguration,
-  type StreamOrigins,
 } from "@trefoildoor/core";
 import { createDelayRecorder } from "./delay_recorder.ts";
 import type { FleetViewOptions } from "./fleet_view_options.ts";
+import type { FleetView, ListStatus } from "./fleet_view_types.ts";
 import { estimateNewsDelayMs, type FleetState } from "./peer_link.ts";
 
-/** View of the fleet; it is updated while it is in use. */
-export interface FleetView {
-  readonly endpoints: EndpointList;
-  readonly endpointTracker: EndpointTracker;
-  readonly crashes: CrashWatch;
-  readonly limits: EndpointLimits;
-  readonly origins: StreamOrigins;
-  readonly peers: PeerRegistry;
-  /** Route index of the configuration in force; undefined before the first. */
-  readonly getVersion: () => RouteIndex | undefined;
-  /** Configuration, endpoints and crash evidence that this instance sends to peers on request. */
-  readonly getState: () => FleetState;
-  /** Fields of this instance's digest on its list of endpoints. */
-  readonly getListStatus: () => ListStatus;
-  /** Time since the list of endpoints was last known to be current, in ms; Infinity before the first read. */
-  readonly getListAgeMs: () => number;
-  /** Applies a digest and returns its delay in transit, in ms; undefined if it is outdated. Fetches the sender's state if its configuration or list of endpoints is newer. */
-  readonly acceptDigest: (
-    digest: PeerDigest,
-    fetchState: (address: string) => Promise<FleetState>,
-  ) => number | undefined;
-}
-
-/** Fields of a digest on the list of endpoints. */
-type ListStatus = Pick<
-  PeerDigest,
-  "listNext" | "listChanged" | "listAgeMs" | "readsStore" | "storeEra"
->;
-
 /** Number of reads of the list of endpoints per `leaving_ms`, the time after which a leaving endpoint gets no new work. */
 const readsPerLeavingTime = 3;
 /** Time for which the store may hold a read of the configuration, as a share of `configuration_ms`. */
@@ -146,6 +113,8 @@
     listEndpoints: endpoints.listAll,
     getListAgeMs: () => endpointTopic.getAgeMs(),
     listStored: versionRecord.list,
+    readChanges: async () =>
+      (await endpointTopic.readNow())?.flatMap(({ value }) => value ?? []),
     askPeers: options.fetchOrigin,
     logEvent,
   });
@@ -239,27 +208,30 @@
     signal,
     logEvent,
   });
-  const endpointTopic: FollowedTopic = followTopic(topics.endpoints, {
-    name: "endpoints",
-    intervalMs,
-    longPollMs: 0,
-    onPage: (page) => {
-      fetchFailed = false;
-      acceptEra(page.era);
-      const before = endpoints.getOffsets();
-      endpoints.apply(page);
-      listUpdates.add(page, {
-        from: before.next,
-        changed: endpoints.getOffsets().changed !== before.changed,
-      });
-      options.onListRead(listUpdates.get());
+  const endpointTopic: FollowedTopic<ListedEndpoint> = followTopic(
+    topics.endpoints,
+    {
+      name: "endpoints",
+      intervalMs,
+      longPollMs: 0,
+      onPage: (page) => {
+        fetchFailed = false;
+        acceptEra(page.era);
+        const before = endpoints.getOffsets();
+        endpoints.apply(page);
+        listUpdates.add(page, {
+          from: before.next,
+          changed: endpoints.getOffsets().changed !== before.changed,
+        });
+        options.onListRead(listUpdates.get());
+      },
+      isNeeded: isReader,
+      onFailure: restartPolls,
+      onRegained: restartPolls,
+      signal,
+      logEvent,
     },
-    isNeeded: isReader,
-    onFailure: restartPolls,
-    onRegained: restartPolls,
-    signal,
-    logEvent,
-  });
+  );
 
   /** Called when reads of the list fail or succeed again: the connections of held reads may be unresponsive as well. */
   function restartPolls(): void {
--- /dev/null
+++ b/packages/node/src/entry/fleet_view_types.ts
@@ -0,0 +1,41 @@
+/** Interface of one entry's view of the fleet. */
+import type {
+  CrashWatch,
+  EndpointLimits,
+  EndpointList,
+  EndpointTracker,
+  PeerDigest,
+  PeerRegistry,
+  RouteIndex,
+  StreamOrigins,
+} from "@trefoildoor/core";
+import type { FleetState } from "./peer_link.ts";
+
+/** View of the fleet; it is updated while it is in use. */
+export interface FleetView {
+  readonly endpoints: EndpointList;
+  readonly endpointTracker: EndpointTracker;
+  readonly crashes: CrashWatch;
+  readonly limits: EndpointLimits;
+  readonly origins: StreamOrigins;
+  readonly peers: PeerRegistry;
+  /** Route index of the configuration in force; undefined before the first. */
+  readonly getVersion: () => RouteIndex | undefined;
+  /** Configuration, endpoints and crash evidence that this instance sends to peers on request. */
+  readonly getState: () => FleetState;
+  /** Fields of this instance's digest on its list of endpoints. */
+  readonly getListStatus: () => ListStatus;
+  /** Time since the list of endpoints was last known to be current, in ms; Infinity before the first read. */
+  readonly getListAgeMs: () => number;
+  /** Applies a digest and returns its delay in transit, in ms; undefined if it is outdated. Fetches the sender's state if its configuration or list of endpoints is newer. */
+  readonly acceptDigest: (
+    digest: PeerDigest,
+    fetchState: (address: string) => Promise<FleetState>,
+  ) => number | undefined;
+}
+
+/** Fields of a digest on the list of endpoints. */
+export type ListStatus = Pick<
+  PeerDigest,
+  "listNext" | "listChanged" | "listAgeMs" | "readsStore" | "storeEra"
+>;
--- a/packages/node/src/entry/running.ts
+++ b/packages/node/src/entry/running.ts
@@ -2,7 +2,7 @@
 import type { EndpointLinks, ForwardDependencies } from "@trefoildoor/core";
 import type { Channels } from "./channels.ts";
 import type { EntryRoles } from "./entry_roles.ts";
-import type { FleetView } from "./fleet_view.ts";
+import type { FleetView } from "./fleet_view_types.ts";
 import type { FrontServer } from "./front_server.ts";
 import type { HandOver } from "./hand_over.ts";
 import type { EntryMetrics } from "./metrics.ts";
