--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -1,4 +1,5 @@
 /** Start and graceful shutdown of an entry, the process that forwards calls from callers to endpoints. */
+import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import {
   answerEnd,
@@ -55,6 +56,8 @@
   readonly connect?: ChannelsOptions["connect"];
 }
 
+/** Tasks and calls that may wait for the shutdown at a time before Node.js warns of a leak. */
+const maxShutdownListeners = 1_000;
 const badRequest = 400;
 const msPerSecond = 1_000;
 /** Retry delay told to callers while no configuration is in force, in ms. */
@@ -103,6 +106,7 @@
 ): Promise<Running> {
   const { platform } = options;
   const shutdown = new AbortController();
+  setMaxListeners(maxShutdownListeners, shutdown.signal);
   const channels = createChannels({
     connect: options.connect,
     observer: {
