Open new connections to the platform after a call without an answer

Instances of the daemon: when the open connections to the log fell silent, one read after the other took a pooled connection and failed, each after its whole time, while new connections worked.

Cause: a call that times out closes its own connection only.

Change: a JSON call to the log, the list or the weight store that times out makes later calls open new connections; calls in flight run to their end.

Evidence: log_standin.feature, four silent connections: the second of three reads failed before, none but the first one now.

--- a/packages/core/src/connection/http/http_connection.ts
+++ b/packages/core/src/connection/http/http_connection.ts
@@ -6,6 +6,7 @@
 import { connect } from "node:net";
 import { type Dispatcher, Pool } from "undici";
 import type { z } from "zod";
+import { RemoteError, RemoteFailure } from "../../types/effects.ts";
 import { createCarefulClient } from "./careful_client.ts";
 import {
   convertError,
@@ -69,6 +70,8 @@
   readonly connectTimeoutMs?: number;
   /** Maximum time until an answer begins, in ms; 0 for no limit. */
   readonly answerTimeoutMs?: number;
+  /** Whether a JSON call that times out makes later calls open new connections, as the pooled ones may be silent as well. */
+  readonly replacesAfterTimeout?: boolean;
 }
 
 const defaultMaxConnections = 512;
@@ -120,11 +123,26 @@
       throw convertError(error, { sent: tracker.sent, call });
     }
   };
+  const replace = (): void => {
+    const previous = pool;
+    pool = openPool(address, options);
+    // Calls in flight run to their end before the pool closes.
+    previous.close().catch(() => {});
+  };
   return {
     send,
     fetchJson: async (call, schema) => {
-      const answer = await send(call);
-      return await readJson(answer, { call, schema });
+      const usedPool = pool;
+      try {
+        const answer = await send(call);
+        return await readJson(answer, { call, schema });
+      } catch (error) {
+        const timedOut = error instanceof RemoteError &&
+          error.failure === RemoteFailure.Timeout;
+        const needsNew = options.replacesAfterTimeout && timedOut;
+        if (needsNew && pool === usedPool) replace();
+        throw error;
+      }
     },
     hasEnded: async () => {
       const { hostname, port } = new URL(buildOrigin(address));
@@ -134,12 +152,7 @@
         ConnectionAttempt.Refused;
     },
     countIdle: () => pool.stats.free,
-    replace: () => {
-      const previous = pool;
-      pool = openPool(address, options);
-      // Calls in flight run to their end before the pool closes.
-      previous.close().catch(() => {});
-    },
+    replace,
     close: () => pool.destroy(),
   };
 }
--- a/packages/core/src/process/platform/log_service.ts
+++ b/packages/core/src/process/platform/log_service.ts
@@ -28,7 +28,9 @@
 
 /** Creates a log service client; requests time out after 3 s by default, reads after that plus their `waitMs`. */
 export function openLogService(options: PlatformOptions): OpenLogService {
-  const connections = openHttpConnections(options.address);
+  const connections = openHttpConnections(options.address, {
+    replacesAfterTimeout: true,
+  });
   const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
   return {
     append: async (stream, payload) => {
--- a/packages/core/src/process/platform/member_list.ts
+++ b/packages/core/src/process/platform/member_list.ts
@@ -37,7 +37,9 @@
 
 /** Creates a member list client; a read times out after 1 s by default. Entries that name no process are left out. */
 export function openMemberList(options: MemberListOptions): OpenMemberList {
-  const connections = openHttpConnections(options.address);
+  const connections = openHttpConnections(options.address, {
+    replacesAfterTimeout: true,
+  });
   /** Reasons why entries of the last list were left out. */
   let unusable: ReadonlySet<string> = new Set();
 
--- a/packages/core/src/process/platform/weight_store.ts
+++ b/packages/core/src/process/platform/weight_store.ts
@@ -19,7 +19,9 @@
 
 /** Creates a weight store client; a reservation times out after 3 s by default. */
 export function openWeightStore(options: PlatformOptions): OpenWeightStore {
-  const connections = openHttpConnections(options.address);
+  const connections = openHttpConnections(options.address, {
+    replacesAfterTimeout: true,
+  });
   return {
     reserveWeightLoad: async (weights, signal) => {
       const answer = await connections.fetchJson({
--- a/packages/standins/src/log_service/log_standin.feature
+++ b/packages/standins/src/log_service/log_standin.feature
@@ -38,3 +38,10 @@
     Given a log stand-in
     When the log client waits for an entry while "late" is appended
     Then the log client's results match the snapshot
+
+  # Guards against calls that go from one silent connection to the next, each for its whole time.
+  Scenario: After one call without an answer, no other silent connection is used
+    Given a log stand-in behind a relay
+    When 4 reads of the log open a connection each
+    And the open connections to the log fall silent
+    Then of 3 reads one after the other only the first one fails
--- a/packages/standins/src/log_service/log_standin.steps.ts
+++ b/packages/standins/src/log_service/log_standin.steps.ts
@@ -1,6 +1,8 @@
 /** Steps of `log_standin.feature`. */
+import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { openLogService, RemoteError, StreamName } from "@trefoildoor/core";
+import { type Relay, Scope, startRelay } from "../relay/index.ts";
 import { Outage } from "../shared/index.ts";
 import { type LogStandin, startLogStandin } from "./log_standin.ts";
 
@@ -9,6 +11,7 @@
   logStandin?: LogStandin;
   logClient: ReturnType<typeof openLogService>;
   logResults: unknown[];
+  logRelay?: Relay;
   matchSnapshot: (received: unknown) => void;
 }
 
@@ -39,6 +42,54 @@
   return startLog(this);
 });
 
+Given("a log stand-in behind a relay", async function (
+  this: LogWorld,
+): Promise<void> {
+  await startLog(this);
+  assert.ok(this.logStandin);
+  await this.logClient.close();
+  this.logRelay = await startRelay({ target: this.logStandin.address });
+  this.logClient = openLogService({
+    address: this.logRelay.address,
+    timeoutMs,
+  });
+});
+
+When("{int} reads of the log open a connection each", async function (
+  this: LogWorld,
+  count: number,
+): Promise<void> {
+  const range = { from: 0, limit: 1, waitMs: 100 };
+  await Promise.all(
+    Array.from(
+      { length: count },
+      () => this.logClient.read(StreamName.Control, range),
+    ),
+  );
+});
+
+When("the open connections to the log fall silent", function (
+  this: LogWorld,
+): void {
+  this.logRelay?.setFaults({ blackhole: true }, { scope: Scope.Open });
+});
+
+Then(
+  "of {int} reads one after the other only the first one fails",
+  async function (this: LogWorld, count: number): Promise<void> {
+    const failed: boolean[] = [];
+    for (let each = 0; each < count; each++) {
+      const read = this.logClient.read(StreamName.Control, {
+        from: 0,
+        limit: 1,
+      });
+      failed.push(await read.then(() => false, () => true));
+    }
+    const expected = Array.from({ length: count }, (_, each) => each === 0);
+    assert.deepEqual(failed, expected);
+  },
+);
+
 Given(
   "a log stand-in that takes {int} appends a second",
   function (this: LogWorld, rate: number): Promise<void> {
@@ -110,5 +161,6 @@
 
 After(async function (this: Partial<LogWorld>): Promise<void> {
   await this.logClient?.close();
+  await this.logRelay?.close();
   await this.logStandin?.close();
 });
