Count a change that was read ahead of the list's offset at its own offset

A peer whose offset lies between the end of the first page and a change on a later page would have skipped the change for good: the instance that read ahead told the first page's end as that of its last change, and sees no change when it reads on.

Change: the last change counts at the highest offset of the page's records.

Evidence: the new scenario of endpoint_list.feature failed before and passes.

--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -27,6 +27,11 @@
     And the store removes "e1"
     Then the endpoints that are known are "e2, e3"
 
+  # Guards against peers that skip a change which this instance has read ahead of its offset.
+  Scenario: A change that a later page of the list holds counts at its own offset
+    When the store is read anew up to offset 4, with "e1 leaving" at offset 7
+    Then a peer at offset 5 sees that it misses a change
+
   Scenario: Reading the newest of each key replaces the whole list
     When the store is read anew and shows "e2, e4"
     Then the endpoints that take work are "e2, e4"
--- a/packages/core/src/process/fleet/endpoint_list.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_list.steps.ts
@@ -101,6 +101,30 @@
   },
 );
 
+When(
+  "the store is read anew up to offset {int}, with {string} at offset {int}",
+  function (
+    this: ListWorld,
+    next: number,
+    text: string,
+    offset: number,
+  ): void {
+    const records = parseEndpoints(text).map((value) => ({
+      key: value.name,
+      value,
+      offset,
+    }));
+    this.list.apply({ records, next, whole: true });
+  },
+);
+
+Then("a peer at offset {int} sees that it misses a change", function (
+  this: ListWorld,
+  next: number,
+): void {
+  assert.ok(this.list.getOffsets().changed > next);
+});
+
 When(
   "the store removes {string}",
   function (this: ListWorld, key: string): void {
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -15,7 +15,7 @@
 /** Content of the list up to an offset of its topic. */
 export interface EndpointSnapshot {
   readonly next: number;
-  /** Offset up to which the list must be read to include its last relevant change; repeated registrations are not relevant. */
+  /** Offset up to which the list must be read to include its last relevant change, at times above `next`; repeated registrations are not relevant. */
   readonly changed: number;
   readonly endpoints: readonly ListedEndpoint[];
   /** Endpoints that lapsed during a store outage and may still register again. */
@@ -189,8 +189,13 @@
       next = Math.max(next, page.next);
       removeExpired();
       // The offset of the page, so that a peer that is behind it sees that it
-      // misses a change.
-      if (hasChanged) changed = next;
+      // misses a change; later pages of the newest records have higher offsets.
+      if (hasChanged) {
+        changed = page.records.reduce(
+          (end, { offset }) => Math.max(end, offset + 1),
+          next,
+        );
+      }
       hasChanged = false;
     },
     merge(snapshot): boolean {
