Let a stop wait for answers that are ended and not flushed

Cause: close() of Node's HTTP server closes connections that count as idle, and those whose response was ended and is not flushed yet are among them.

Change: the listener for callers is closed as a plain server; idle connections were closed by the entry before.

--- a/packages/node/src/entry/front_server.feature
+++ b/packages/node/src/entry/front_server.feature
@@ -52,6 +52,13 @@
     And the request that takes long is answered with 200
     And new connections are refused
 
+  # Guards against answers that are ended but not flushed and count as idle (LOST).
+  Scenario: Once it takes nothing more, an answer that its caller has not read yet goes on to its end
+    Given a caller that does not read its answer of 12000000 bytes
+    When the listener takes nothing more
+    And the caller reads its answer
+    Then the caller has all of the 12000000 bytes
+
   Scenario: Two requests smuggled as one are refused
     When a caller sends a request with two kinds of framing
     Then the caller gets status 400 and the body ""
--- a/packages/node/src/entry/front_server.steps.ts
+++ b/packages/node/src/entry/front_server.steps.ts
@@ -21,10 +21,13 @@
   broken: boolean;
   slowResponse?: Promise<string>;
   idleSocket?: Socket;
+  /** Bytes that a caller has read, with the head of its answer. */
+  readBytes: number;
 }
 
 /** Error of a handler that fails after it has begun its answer. */
 const handlerFailure = new Error("handler failed");
+const settleMs = 100;
 const limits = {
   maxHeaderBytes: 16_384,
   maxBodyBytes: 1_000_000,
@@ -67,6 +70,12 @@
       const [, step = "", text = ""] = request.target.split("/");
       if (step === "slow") await waitFor(Number(text));
       if (step === "hang") return;
+      if (step === "large") {
+        const body = Buffer.alloc(Number(text));
+        answer.start(200, [], { length: body.length });
+        void answer.write(body);
+        return answer.end();
+      }
       const body = step === "size" ? String(request.body.length) : text;
       const untilClose = step.startsWith("unframed");
       answer.start(
@@ -178,6 +187,39 @@
   await waitUntil("request forwarded", () => this.forwarded.length > before);
 });
 
+Given(
+  "a caller that does not read its answer of {int} bytes",
+  async function (this: FrontWorld, bytes: number): Promise<void> {
+    const socket = openSocket(this);
+    socket.pause();
+    socket.write(buildRequest(`/large/${bytes}`, 1));
+    this.idleSocket = socket;
+    this.readBytes = 0;
+    await waitUntil("request forwarded", () => this.forwarded.length === 1);
+    await waitFor(settleMs);
+  },
+);
+
+When("the caller reads its answer", async function (
+  this: FrontWorld,
+): Promise<void> {
+  const socket = this.idleSocket;
+  assert.ok(socket);
+  await waitFor(settleMs);
+  socket.on("data", (chunk: Buffer) => this.readBytes += chunk.length);
+  socket.on("error", () => undefined);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.resume();
+  await closed;
+});
+
+Then("the caller has all of the {int} bytes", function (
+  this: FrontWorld,
+  bytes: number,
+): void {
+  assert.ok(this.readBytes > bytes, String(this.readBytes));
+});
+
 When("the listener takes nothing more", function (this: FrontWorld): void {
   this.front?.stopAccepting();
 });
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -8,7 +8,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import type { CallerAnswer, CallerLimits } from "@trefoildoor/core";
 
 /** A caller's request with its complete body. */
@@ -138,7 +138,9 @@
     },
     stopAccepting(): void {
       accepting = false;
-      server.close();
+      // Without the step of the HTTP server that closes connections whose answer
+      // has been ended and is not flushed yet.
+      NetServer.prototype.close.call(server);
       // Closed in both directions: on a half-closed connection a caller could
       // still send a request that gets no response.
       for (const socket of idleSockets) socket.destroy();
