Let the daemon's gateway close after answers that are not flushed yet

Change: the gateway is closed as a plain server, and idle connections are closed only while no ended answer is unflushed.

Evidence: the new scenario of listeners.feature, over TLS, failed before and passes.

--- a/packages/node/src/connection/gateway.ts
+++ b/packages/node/src/connection/gateway.ts
@@ -1,6 +1,12 @@
 /** The HTTP gateway for callers: a moleculer broker without transporter and its web service. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { Outcome, outcomeHeader, RefusalReason } from "@trefoildoor/core";
+import { Server as NetServer } from "node:net";
+import {
+  Outcome,
+  outcomeHeader,
+  RefusalReason,
+  waitFor,
+} from "@trefoildoor/core";
 import { type Service, ServiceBroker, type ServiceSchema } from "moleculer";
 import ApiService from "moleculer-web";
 import type { Settings } from "../settings/index.ts";
@@ -8,6 +14,7 @@
 import { refuseNotRun } from "../request/refusals.ts";
 import { sendRefusal } from "./responses.ts";
 
+const closeCheckMs = 20;
 const badRequest = 400;
 const notFound = 404;
 const payloadTooLarge = 413;
@@ -75,16 +82,35 @@
   server.maxConnections = settings.max_connections;
   server.headersTimeout = settings.read_timeout_ms;
   server.requestTimeout = settings.read_timeout_ms;
+  const responses = new Set<ServerResponse>();
+  server.on("request", (_request, response) => {
+    responses.add(response);
+    response.once("close", () => responses.delete(response));
+  });
   await broker.start();
   return {
     address: formatAddress(server),
     async close(): Promise<void> {
-      server.closeIdleConnections();
+      let closed = false;
+      // Without the step of the HTTP server that closes idle connections: those
+      // whose answer was ended and is not flushed yet count as idle.
+      NetServer.prototype.close.call(server, () => closed = true);
+      while (!closed) {
+        if (!hasUnflushed(responses)) server.closeIdleConnections();
+        await waitFor(closeCheckMs);
+      }
       await broker.stop();
     },
   };
 }
 
+/** Whether an answer has been ended whose bytes have not all been handed to the system. */
+function hasUnflushed(responses: ReadonlySet<ServerResponse>): boolean {
+  return [...responses].some(({ writableEnded, writableFinished }) =>
+    writableEnded && !writableFinished
+  );
+}
+
 function buildWebSchema(
   settings: Settings["callers"],
   options: GatewayOptions,
--- a/packages/node/src/connection/listeners.feature
+++ b/packages/node/src/connection/listeners.feature
@@ -19,3 +19,10 @@
     Given a receiver of metrics
     When an instance with that receiver finishes a request
     Then the received metrics match the snapshot
+
+  # Guards against answers that are ended but not flushed and count as idle.
+  Scenario: A gateway that closes lets a caller read its answer to the end
+    Given a certificate made for this test
+    And a caller that does not read an answer of 30000000 bytes
+    When the gateway closes while the caller reads after 300 ms
+    Then the caller has read 30000000 bytes
--- a/packages/node/src/connection/listeners.steps.ts
+++ b/packages/node/src/connection/listeners.steps.ts
@@ -3,14 +3,14 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { emptyControlState } from "@trefoildoor/core";
+import { emptyControlState, waitFor } from "@trefoildoor/core";
 import { waitUntil } from "@trefoildoor/testing";
 import { generate } from "selfsigned";
 import { Agent, request } from "undici";
 import { openMetrics } from "../process/metrics.ts";
 import { createHealthApp } from "../request/health_app.ts";
 import { type Settings, settingsSchema } from "../settings/index.ts";
-import { openGateway } from "./gateway.ts";
+import { BodyKind, type Gateway, openGateway } from "./gateway.ts";
 import {
   openPeerClient,
   openPeerServer,
@@ -22,6 +22,7 @@
   certificate: { readonly cert: string; readonly private: string };
   closers?: (() => Promise<unknown> | void)[];
   answer: unknown;
+  gateway?: Gateway;
   digests: PeerDigest[];
   receiver: Socket;
   packets: string[];
@@ -119,6 +120,56 @@
   },
 );
 
+Given(
+  "a caller that does not read an answer of {int} bytes",
+  async function (this: ListenerWorld, bytes: number): Promise<void> {
+    this.gateway = await openGateway(buildSettings(this).callers, {
+      apps: [{
+        path: "/",
+        body: BodyKind.Text,
+        handlers: {
+          "GET large": (_request, response) => {
+            response.writeHead(200, { "content-length": bytes });
+            response.end(Buffer.alloc(bytes));
+          },
+        },
+      }],
+      environment: {},
+      onFailure: (error) => assert.fail(String(error)),
+    });
+    const dispatcher = new Agent({ connect: { ca: this.certificate.cert } });
+    this.closers?.push(() => dispatcher.destroy());
+    const { body } = await request(`https://${this.gateway.address}/large`, {
+      dispatcher,
+    });
+    this.answer = body;
+  },
+);
+
+When(
+  "the gateway closes while the caller reads after {int} ms",
+  async function (this: ListenerWorld, delayMs: number): Promise<void> {
+    const closing = this.gateway?.close();
+    await waitFor(delayMs);
+    const body = this.answer as AsyncIterable<Buffer>;
+    let bytes = 0;
+    try {
+      for await (const chunk of body) bytes += chunk.length;
+    } catch {
+      // What came before the break counts.
+    }
+    this.answer = bytes;
+    await closing;
+  },
+);
+
+Then("the caller has read {int} bytes", function (
+  this: ListenerWorld,
+  bytes: number,
+): void {
+  assert.equal(this.answer, bytes);
+});
+
 Given(
   "a receiver of metrics",
   async function (this: ListenerWorld): Promise<void> {
