--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -150,6 +150,7 @@
     framed: !behaviour.startsWith("unframed"),
     connectedMs: 0,
     earlierAnswers: behaviour === "unasked" ? 1 : 0,
+    refusedBefore: false,
     closeAfterwards: () => undefined,
     body: streamBody(send, signal),
   };
--- a/packages/core/src/request/forwarding/refusal_proofs.ts
+++ b/packages/core/src/request/forwarding/refusal_proofs.ts
@@ -66,7 +66,7 @@
   state: CallState,
   { endpoint, exportOnly }: SendParameters,
 ): string | undefined {
-  const { head, earlierAnswers } = answer;
+  const { head, earlierAnswers, refusedBefore } = answer;
   if (!head.notRun) return undefined;
   const { call, parts } = state;
   const proven = parts.refusals.accept(endpoint.name, answer);
@@ -77,6 +77,7 @@
     status: head.status,
     namesCall: head.callId !== undefined,
     earlierAnswers,
+    refusedBefore,
     proven,
   });
   return proven || exportOnly
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -44,6 +44,8 @@
   readonly connectedMs: number;
   /** Answers that its connection had carried to their end before. */
   readonly earlierAnswers: number;
+  /** Whether its connection had brought a refusal of this call before, of which it may be a copy. */
+  readonly refusedBefore: boolean;
   /**
    * Rejects with `RemoteError` when the answer breaks off. Ending the
    * iteration early closes the connection.
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -36,6 +36,8 @@
   readonly path: string;
   /** Names and values in turn; built when the connection is open, so that times in them are those of the write. */
   readonly buildHeaders?: () => readonly string[];
+  /** Id that the response repeats, if requests have one. */
+  readonly id?: string;
   readonly body?: Buffer;
   readonly signal?: AbortSignal;
   /** Longest time for which the connection may have been idle, in ms. */
@@ -57,9 +59,13 @@
   readonly connectedMs: number;
   /** Responses that the connection had carried to their end before. */
   readonly earlierAnswers: number;
+  /** Whether the connection has brought a refusal of a request with this id before. */
+  readonly refusedBefore: boolean;
   readonly body: AsyncIterable<Buffer>;
   /** Closes the connection once the response has ended, instead of keeping it for later requests. */
   readonly closeAfterwards: () => void;
+  /** Records that the server refused the request. */
+  readonly recordRefusal: () => void;
 }
 
 /** The connection pool of one process. */
@@ -90,6 +96,8 @@
 const idleTimeoutMarginMs = 800;
 /** Maximum number of idle connections to one address; the longest idle one is closed first. */
 const maxIdleChannels = 24;
+/** Refused requests after which a connection is not used again, as their ids are kept. */
+const maxRefusedIds = 32;
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
 interface Channel {
@@ -103,6 +111,8 @@
   idleSinceMs: number;
   /** Responses that it has carried to their end. */
   answers: number;
+  /** Ids of requests that were refused on it. */
+  readonly refusedIds: Set<string>;
   /** Whether it is not used again. */
   spent: boolean;
   /** Whether it was opened for one request alone. */
@@ -129,6 +139,7 @@
       connectedMs: performance.now(),
       idleSinceMs: performance.now(),
       answers: 0,
+      refusedIds: new Set(),
       spent: false,
       single: fresh,
     };
@@ -319,15 +330,21 @@
         recordProgress(channel.socket);
         const raw = started.rawHeaders as readonly Buffer[] | null;
         const headers = (raw ?? []).map((each) => each.toString("latin1"));
-        const { connectedMs, answers } = channel;
+        const { connectedMs, answers, refusedIds } = channel;
+        const { id } = request;
         resolve({
           status,
           headers,
           framed: isFramed(headers),
           connectedMs,
           earlierAnswers: answers,
+          refusedBefore: id !== undefined && refusedIds.has(id),
           body,
           closeAfterwards: () => options.onSpent(channel),
+          recordRefusal: () => {
+            if (id !== undefined) refusedIds.add(id);
+            if (refusedIds.size >= maxRefusedIds) options.onSpent(channel);
+          },
         });
       },
       onResponseData(_started, chunk): void {
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -46,15 +46,19 @@
       const request = codec.encodeSend(call, facts);
       const answer = await channels.exchange(facts.endpoint.address, {
         ...request,
+        id: call.id,
         signal,
         fresh,
         mayWrite,
       });
+      const head = codec.decodeHead(answer.status, answer.headers);
+      if (head.notRun) answer.recordRefusal();
       return {
-        head: codec.decodeHead(answer.status, answer.headers),
+        head,
         framed: answer.framed,
         connectedMs: answer.connectedMs,
         earlierAnswers: answer.earlierAnswers,
+        refusedBefore: answer.refusedBefore,
         body: answer.body,
         closeAfterwards: answer.closeAfterwards,
       };
