Log calls that are written long after they were checked for the last time

Callers saw calls reach servers 2.0 to 3.5 s after these had left, right after a pause of the entry. Nothing told a process that was stopped between the last check and the system call from one that held an old list for a young one. Line 829 is written after the send and says how long ago the check was, and how old the list was then.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -217,21 +217,28 @@
 async function sendChecked(
   state: CallState,
   facts: SendParameters,
-  { sentMs, ...options }: Omit<SendOptions, "mayWrite"> & {
+  { sentMs, ...options }: Omit<SendOptions, "mayWrite" | "onWritten"> & {
     /** When the endpoint had been chosen. */
     readonly sentMs: number;
   },
 ): Promise<EndpointAnswer> {
   const { call, parts, workspace } = state;
   let refusal: WriteRefusal | undefined;
+  let checked: CheckedWrite | undefined;
   try {
     return await parts.sender.send(call, { ...facts, workspace }, {
       ...options,
       mayWrite: () => {
         refusal = findWriteRefusal(state, facts);
         recordWrite(state, facts, { refusal, chosenMs: sentMs });
+        checked = {
+          chosenMs: sentMs,
+          checkedMs: performance.now(),
+          listAgeMs: parts.listing.getAgeMs(),
+        };
         return refusal === undefined;
       },
+      onWritten: () => recordWritten(state, facts, checked),
     });
   } catch (error) {
     if (refusal === WriteRefusal.Suspect) throw new RefusedCallError();
@@ -253,6 +260,34 @@
   return usable ? undefined : WriteRefusal.ListTooOld;
 }
 
+/** What was known when a call was checked for the last time before its write. */
+interface CheckedWrite {
+  /** When its endpoint was chosen, in ms of `performance.now()`. */
+  readonly chosenMs: number;
+  /** When it was checked, in ms of `performance.now()`. */
+  readonly checkedMs: number;
+  /** Age that the list of endpoints had then, in ms. */
+  readonly listAgeMs: number;
+}
+
+/** Logs a call whose process did not get on between the last check and the write, which no check can prevent. */
+function recordWritten(
+  { call, parts }: CallState,
+  { endpoint }: SendParameters,
+  checked: CheckedWrite | undefined,
+): void {
+  if (!checked) return;
+  const sinceCheckMs = performance.now() - checked.checkedMs;
+  if (sinceCheckMs < lateSendMs) return;
+  parts.logEvent(forwardEvents.writtenLate, {
+    call: call.id,
+    endpoint: endpoint.name,
+    sinceCheckMs: Math.round(sinceCheckMs),
+    sinceChoiceMs: Math.round(performance.now() - checked.chosenMs),
+    listAgeMs: Math.round(checked.listAgeMs),
+  });
+}
+
 /** Counts a send, and logs one that is refused at the last moment or comes long after the choice of its endpoint. */
 function recordWrite(
   { call, parts, listBasis, workspace }: CallState,
--- a/packages/core/src/request/forwarding/events.ts
+++ b/packages/core/src/request/forwarding/events.ts
@@ -43,6 +43,11 @@
     severity: Severity.Warning,
     message: "call was sent long after its endpoint was chosen",
   },
+  writtenLate: {
+    number: 829,
+    severity: Severity.Warning,
+    message: "call was written long after it was checked for the last time",
+  },
   choiceOutdated: {
     number: 838,
     severity: Severity.Info,
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -62,6 +62,8 @@
   readonly fresh?: boolean;
   /** Asked right before the call is written to an open connection; false ends the send without effect. */
   readonly mayWrite?: () => boolean;
+  /** Called once the operating system has the call, or as much of it as it takes at once. */
+  readonly onWritten?: () => void;
 }
 
 /** Sends calls to endpoints; rejects with `RemoteError`, whose effect is `None` if no byte was sent. */
--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -77,6 +77,10 @@
     When calls are answered "whole"
     Then 2 connections were opened
 
+  Scenario: A write that comes long after its check is told
+    When the process stands still for 60 ms while it writes a call
+    Then it is told at least 60 ms after the check that the call is written
+
   # Guards against the copy of a refusal, taken for the answer to the same call (REFUSED, TWICE).
   Scenario: A call is not sent over a connection that has brought a refusal of it
     When the call "a" is refused
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -22,6 +22,8 @@
   results: string[];
   closedByCaller: boolean;
   sentAll: boolean;
+  /** Time from the last check of a call until it was written, in ms. */
+  writtenAfterMs: number;
   /** Whether a call was written to a connection that had brought a refusal of it. */
   refusedBefore: boolean;
 }
@@ -113,6 +115,7 @@
     this.closedByCaller = false;
     this.sentAll = false;
     this.refusedBefore = false;
+    this.writtenAfterMs = 0;
     this.scripted = createServer((socket) => {
       this.opened += 1;
       this.sockets.add(socket);
@@ -151,6 +154,8 @@
     readonly id?: string;
     /** Whether the answer is taken for a refusal. */
     readonly refused?: boolean;
+    readonly mayWrite?: () => boolean;
+    readonly onWritten?: () => void;
   } = {},
 ): Promise<void> {
   world.script.push(step);
@@ -165,6 +170,8 @@
         body: Buffer.alloc(step === "early" ? largeBytes : 0),
         maxIdleMs: options.maxIdleMs,
         fresh: options.fresh,
+        mayWrite: options.mayWrite,
+        onWritten: options.onWritten,
         signal: AbortSignal.timeout(5_000),
       },
     );
@@ -226,6 +233,28 @@
   },
 );
 
+When(
+  "the process stands still for {int} ms while it writes a call",
+  async function (this: ChannelsWorld, ms: number): Promise<void> {
+    let checkedMs = Infinity;
+    await runCall(this, "whole", {
+      mayWrite: () => {
+        checkedMs = performance.now();
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+        return true;
+      },
+      onWritten: () => this.writtenAfterMs = performance.now() - checkedMs,
+    });
+  },
+);
+
+Then(
+  "it is told at least {int} ms after the check that the call is written",
+  function (this: ChannelsWorld, ms: number): void {
+    assert.ok(this.writtenAfterMs >= ms, `${this.writtenAfterMs} ms`);
+  },
+);
+
 Then(
   "no call found a connection with a refusal of it",
   function (this: ChannelsWorld): void {
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -46,6 +46,8 @@
   readonly fresh?: boolean;
   /** Called right before the request is written to the open connection; false ends it unsent. */
   readonly mayWrite?: () => boolean;
+  /** Called once the operating system has the request, or as much of it as it takes at once. */
+  readonly onWritten?: () => void;
 }
 
 /** A response whose head has arrived; its body is read as a stream. */
@@ -321,6 +323,8 @@
         sent = true;
         recordProgress(channel.socket);
         options.observer?.onSent(channel.address);
+        // The client writes right after this call.
+        queueMicrotask(() => request.onWritten?.());
       },
       onResponseStart(started, status): void {
         options.observer?.onContact(channel.address, channel.connectedMs);
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -40,7 +40,7 @@
     async send(
       call,
       facts,
-      { signal, fresh, mayWrite },
+      { signal, fresh, mayWrite, onWritten },
     ): Promise<EndpointAnswer> {
       await waitForPoll();
       const request = codec.encodeSend(call, facts);
@@ -50,6 +50,7 @@
         signal,
         fresh,
         mayWrite,
+        onWritten,
       });
       const head = codec.decodeHead(answer.status, answer.headers);
       if (head.notRun) answer.recordRefusal();
