Count the age of a peer's news from when it came

Cause: an instance measured how long a digest had been on its way, took in loads, capacities, limits and crashes, and then took the age of the list from the sum, counted from the moment of that step. A process that was stopped in between held a list for as young as it had been before the stop, and told its peers so. The same for the age of the configuration.

The scenario of fleet_view.feature fails on the code before.

The time of the receipt is taken first, and ages are passed on as instants.

--- a/packages/core/src/process/fleet/digest_delays.steps.ts
+++ b/packages/core/src/process/fleet/digest_delays.steps.ts
@@ -51,7 +51,7 @@
         name: "a1",
         start: this.digestStart,
         sentMs: performance.now() + this.clockOffsetMs - delayMs,
-      });
+      }, performance.now());
     });
   },
 );
@@ -60,7 +60,10 @@
   this: DelayWorld,
 ): void {
   this.measured = [
-    this.digestDelays.measure({ name: "a1", start: this.digestStart }),
+    this.digestDelays.measure(
+      { name: "a1", start: this.digestStart },
+      performance.now(),
+    ),
   ];
 });
 
@@ -112,7 +115,7 @@
         name: "a1",
         start: this.digestStart,
         sentMs: performance.now() + this.clockOffsetMs - delayMs,
-      }),
+      }, performance.now()),
   );
 });
 
--- a/packages/core/src/process/fleet/digest_delays.ts
+++ b/packages/core/src/process/fleet/digest_delays.ts
@@ -14,9 +14,10 @@
 
 /** Transit delays of the digests of all peers. */
 export interface DigestDelays {
-  /** Transit delay of a digest that arrived now; 0 for the first of a run of its sender, and for one that does not say when it was sent. */
+  /** Transit delay of a digest that arrived at `receivedMs` of `performance.now()`; 0 for the first of a run of its sender, and for one that does not say when it was sent. */
   readonly measure: (
     digest: Pick<PeerDigest, "name" | "start" | "sentMs">,
+    receivedMs: number,
   ) => DigestDelay;
 }
 
@@ -44,25 +45,25 @@
 export function createDigestDelays(): DigestDelays {
   const baselines = new Map<string, Baseline>();
   return {
-    measure({ name, start, sentMs }): DigestDelay {
+    measure({ name, start, sentMs }, receivedMs): DigestDelay {
       if (sentMs === undefined) return { ms: 0, reliable: false };
-      const nowMs = performance.now();
-      const offsetMs = nowMs - sentMs;
+      const offsetMs = receivedMs - sentMs;
       const former = baselines.get(name);
       const known = former?.start === start ? former : undefined;
       const lowestMs = known
         ? Math.min(
-          known.offsetMs + (nowMs - known.updatedMs) * maxDrift,
+          known.offsetMs + (receivedMs - known.updatedMs) * maxDrift,
           offsetMs,
         )
         : offsetMs;
-      const isSample = !known || nowMs - known.sampledMs >= sampleDistanceMs;
+      const isSample = !known ||
+        receivedMs - known.sampledMs >= sampleDistanceMs;
       baselines.set(name, {
         start,
         offsetMs: lowestMs,
-        updatedMs: nowMs,
+        updatedMs: receivedMs,
         samples: (known?.samples ?? 0) + (isSample ? 1 : 0),
-        sampledMs: isSample ? nowMs : known.sampledMs,
+        sampledMs: isSample ? receivedMs : known.sampledMs,
       });
       return {
         ms: offsetMs - lowestMs,
--- a/packages/core/src/process/fleet/follow_topic.steps.ts
+++ b/packages/core/src/process/fleet/follow_topic.steps.ts
@@ -2,7 +2,7 @@
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
-import { waitFor } from "../../shared/index.ts";
+import { takeInstant, waitFor } from "../../shared/index.ts";
 import {
   Effect,
   type ReadableTopic,
@@ -188,7 +188,7 @@
 When(
   "another instance has read up to offset {int}, {int} ms ago",
   function (this: TopicWorld, next: number, ageMs: number): void {
-    this.followed.advanceTo(next, ageMs);
+    this.followed.advanceTo(next, takeInstant(ageMs));
   },
 );
 
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -5,9 +5,11 @@
  * return at once.
  */
 import {
+  addMs,
   type Instant,
   type LogEvent,
   logEvent,
+  noInstant,
   runWithTimeout,
   startPolledTimer,
   takeInstant,
@@ -65,10 +67,10 @@
   readonly getSinceRecoveryMs: () => number;
   /** Whether the last read of this instance's own succeeded. */
   readonly isReadable: () => boolean;
-  /** Continues from an offset that a peer has read `ageMs` ago; a lower offset than the current one changes nothing. */
-  readonly advanceTo: (next: number, ageMs?: number) => void;
-  /** Records that a peer, which knows nothing newer, has read the topic `ageMs` ago. */
-  readonly confirmUnchanged: (ageMs: number) => void;
+  /** Continues from an offset that a peer has read at an instant; a lower offset than the current one changes nothing. */
+  readonly advanceTo: (next: number, asOf?: Instant) => void;
+  /** Records that a peer, which knows nothing newer, has read the topic at an instant. */
+  readonly confirmUnchanged: (asOf: Instant) => void;
   /**
    * Reads the topic unless the known state is at most `maxAgeMs` old; resolves
    * to whether it is, by a read or by a peer's news. Resolves to false at once
@@ -145,10 +147,9 @@
   }
 
   /** The instant as of which the store has answered a held read without records: it held the read for its whole time. */
-  function addHeldTime({ monotonicMs, dateMs }: Instant): Instant {
-    const tookMs = performance.now() - monotonicMs;
-    const heldMs = tookMs < options.longPollMs ? 0 : options.longPollMs;
-    return { monotonicMs: monotonicMs + heldMs, dateMs: dateMs + heldMs };
+  function addHeldTime(sent: Instant): Instant {
+    const tookMs = performance.now() - sent.monotonicMs;
+    return addMs(sent, tookMs < options.longPollMs ? 0 : options.longPollMs);
   }
 
   /** Applies a page whose content is as of an instant. */
@@ -364,8 +365,8 @@
     getReadAgeMs: age.getReadAgeMs,
     getSinceRecoveryMs: age.getSinceRecoveryMs,
     isReadable: () => readable,
-    advanceTo(offset, ageMs = Infinity): void {
-      if (offset >= next) age.recordPeerRead(ageMs);
+    advanceTo(offset, asOf = noInstant): void {
+      if (offset >= next) age.recordPeerRead(asOf);
       if (offset <= next) return;
       next = offset;
       needsNewest = false;
--- a/packages/core/src/process/fleet/topic_age.ts
+++ b/packages/core/src/process/fleet/topic_age.ts
@@ -4,7 +4,6 @@
   type Instant,
   noInstant,
   pickLater,
-  takeInstant,
 } from "../../shared/index.ts";
 
 /** Age of the state that one instance knows. */
@@ -13,8 +12,8 @@
   readonly recordRecovery: () => void;
   /** Records a read of this instance whose content is as of an instant. */
   readonly recordRead: (asOf: Instant) => void;
-  /** Records that a peer has read the known state `ageMs` ago. */
-  readonly recordPeerRead: (ageMs: number) => void;
+  /** Records that a peer has read the known state at an instant. */
+  readonly recordPeerRead: (asOf: Instant) => void;
   readonly recordFailure: () => void;
   /** Records that the store came back from an older copy, as after an outage. */
   readonly markRestored: () => void;
@@ -71,10 +70,9 @@
       read = pickLater(read, asOf);
       notify();
     },
-    recordPeerRead(ageMs): void {
-      const asOf = takeInstant(ageMs);
+    recordPeerRead(asOf): void {
       if (asOf.monotonicMs <= peerRead.monotonicMs) return;
-      if (ageMs <= outageAfterMs) recordRecovery();
+      if (getInstantAgeMs(asOf) <= outageAfterMs) recordRecovery();
       peerRead = asOf;
       notify();
     },
--- a/packages/core/src/process/fleet/topic_confirmation.steps.ts
+++ b/packages/core/src/process/fleet/topic_confirmation.steps.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { pauseClock, type PausedClock } from "@trefoildoor/testing";
 import fc from "fast-check";
-import { waitFor } from "../../shared/index.ts";
+import { takeInstant, waitFor } from "../../shared/index.ts";
 import {
   Effect,
   type ReadableTopic,
@@ -201,7 +201,7 @@
     const { userOfTopic: followed } = this;
     followed.isReader = false;
     for (let passedMs = 0; passedMs < ms; passedMs += 100) {
-      followed.topic.advanceTo(followed.topic.getNext(), 20);
+      followed.topic.advanceTo(followed.topic.getNext(), takeInstant(20));
       await this.confirmationClock?.tickAsync(100);
     }
   },
@@ -353,7 +353,7 @@
       // A peer knows what was appended until `ms` ago.
       const asOfMs = getStoreMs(followed) - step.ms;
       const next = followed.appendedMs.filter((atMs) => atMs <= asOfMs).length;
-      return followed.topic.advanceTo(next, step.ms);
+      return followed.topic.advanceTo(next, takeInstant(step.ms));
     }
     case "change":
       return void followed.appendedMs.push(getStoreMs(followed));
--- a/packages/core/src/shared/instants.ts
+++ b/packages/core/src/shared/instants.ts
@@ -17,6 +17,11 @@
   };
 }
 
+/** Returns the instant `ms` later, or earlier if that is negative. */
+export function addMs({ monotonicMs, dateMs }: Instant, ms: number): Instant {
+  return { monotonicMs: monotonicMs + ms, dateMs: dateMs + ms };
+}
+
 /**
  * Age of an instant, in ms. The monotonic clock stands still while the machine
  * is suspended and the date may be set, so the longer of the two times counts.
--- a/packages/node/src/entry/fleet_view.feature
+++ b/packages/node/src/entry/fleet_view.feature
@@ -85,3 +85,9 @@
     When the instance can read the store again
     And 1000 ms pass for the instance
     Then no change is missing in what the instance has passed on
+
+  Scenario: An instance that stands still while it takes in a digest does not take its list for fresh (DRAIN)
+    Given an instance that relies on the reads of "a1" and lists "engine-1"
+    When 6000 ms pass for the instance
+    And the instance stands still for 2400 ms while it takes in a digest
+    Then the list of the instance is at least 2400 ms old
--- a/packages/node/src/entry/fleet_view.steps.ts
+++ b/packages/node/src/entry/fleet_view.steps.ts
@@ -1,182 +1,28 @@
 /** Steps of `fleet_view.feature`. */
 import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import {
-  type ListedEndpoint,
-  type ListUpdate,
-  type PeerDigest,
-  type ReadableTopic,
-  startRunningClock,
-  type TopicPage,
-  type TopicRecord,
-  waitFor,
-  type WritableTopic,
-} from "@trefoildoor/core";
-import { pauseClock, type PausedClock } from "@trefoildoor/testing";
+import { startRunningClock } from "@trefoildoor/core";
+import { pauseClock } from "@trefoildoor/testing";
 import { createChannels } from "./channels.ts";
 import { openFleetView } from "./fleet_view.ts";
-import type { FleetView } from "./fleet_view_types.ts";
-import type { FleetState } from "./peer_link.ts";
+import {
+  buildEndpoint,
+  buildReaderDigest,
+  createEmptyTopic,
+  openList,
+  runReader,
+  service,
+  type ViewWorld,
+} from "./fleet_view_world.test.ts";
 import { entrySettingsSchema } from "./settings.ts";
 
-/** State of one scenario. */
-interface ViewWorld {
-  viewClock?: PausedClock;
-  stopView?: AbortController;
-  view: FleetView;
-  /** Records of the list's topic. */
-  listRecords: TopicRecord<ListedEndpoint>[];
-  /** When the instance last read the list itself, in ms of the paused clock. */
-  listReadMs: number;
-  simulatedReader: SimulatedReader;
-  /** Era that the store states, and how long it takes to answer, in ms. */
-  storeEra?: number;
-  storeDelayMs?: number;
-  /** Times that the store has counted as restored. */
-  restored?: number;
-  storeFails?: boolean;
-  /** Changes that the instance has passed on last, and when. */
-  passedOn?: ListUpdate;
-  passedOnMs?: number;
-  regainedMs?: number;
-  /** States fetched from another failure domain since it told of a change last. */
-  fetchedFar?: number;
-}
-
-/** Another instance that reads the store every second and sends a digest after each read. */
-interface SimulatedReader {
-  readonly name: string;
-  /** Offset of its clock from the instance's, in ms. */
-  readonly clockOffsetMs: number;
-  delayMs: number;
-  delayGrowthMs: number;
-  maxDelayMs: number;
-  sequence: number;
-  /** Whether its digests are lost. */
-  silent: boolean;
-  /** Whether another instance can fetch its state. */
-  handsOverState: boolean;
-  /** Offset from which on its digests contain the changes; undefined if they contain none. */
-  updateFrom: number | undefined;
-  /** Era of the store in its digests; undefined if they state none. */
-  era?: number;
-}
-
-const readIntervalMs = 1_000;
 const usualDelayMs = 5;
-const service = "drafting";
 
 After(function (this: ViewWorld): void {
   this.stopView?.abort();
   this.viewClock?.uninstall();
 });
 
-function buildEndpoint(name: string, leaving: boolean): ListedEndpoint {
-  return {
-    name,
-    service,
-    address: "10.0.0.9:80",
-    failureDomain: "sapporo",
-    slots: 4,
-    leaving,
-    startedAtMs: 1,
-  };
-}
-
-function createEmptyTopic<Value>(world: ViewWorld): WritableTopic<Value> {
-  return {
-    async fetchNewest(): Promise<TopicPage<Value>> {
-      await waitFor(world.storeDelayMs ?? 0);
-      return { records: [], next: 0, era: world.storeEra };
-    },
-    async read(from, { waitMs, signal }): Promise<TopicPage<Value>> {
-      await waitFor(waitMs, signal);
-      return { records: [], next: from, era: world.storeEra };
-    },
-    append: () => Promise.resolve(0),
-  };
-}
-
-function openList(world: ViewWorld): ReadableTopic<ListedEndpoint> {
-  return {
-    async fetchNewest(): Promise<TopicPage<ListedEndpoint>> {
-      await waitFor(world.storeDelayMs ?? 0);
-      return {
-        records: world.listRecords,
-        next: world.listRecords.length,
-        era: world.storeEra,
-      };
-    },
-    read(from): Promise<TopicPage<ListedEndpoint>> {
-      if (world.storeFails) return Promise.reject(new Error("store is down"));
-      world.listReadMs = performance.now();
-      return Promise.resolve({
-        records: world.listRecords.slice(from),
-        next: world.listRecords.length,
-        era: world.storeEra,
-      });
-    },
-  };
-}
-
-function buildReaderDigest(world: ViewWorld): PeerDigest {
-  const { simulatedReader: reader, listRecords } = world;
-  return {
-    name: reader.name,
-    address: "10.0.0.1:1",
-    failureDomain: "sapporo",
-    start: "first",
-    sequence: reader.sequence += 1,
-    sentMs: performance.now() + reader.clockOffsetMs,
-    version: 0,
-    listNext: listRecords.length,
-    listChanged: listRecords.length,
-    listAgeMs: 0,
-    readsStore: true,
-    storeEra: reader.era,
-    loads: {},
-    reads: { sent: {}, computed: {} },
-    down: {},
-    changing: [],
-    stopping: false,
-    update: reader.updateFrom === undefined ? undefined : {
-      from: reader.updateFrom,
-      records: listRecords.slice(reader.updateFrom),
-    },
-  };
-}
-
-/** Sends a digest each second, which arrives after the reader's current delay. */
-async function runReader(world: ViewWorld, signal: AbortSignal): Promise<void> {
-  const { simulatedReader: reader } = world;
-  while (!signal.aborted) {
-    const digest = buildReaderDigest(world);
-    const endpoints = world.listRecords.flatMap(({ value }) => value ?? []);
-    const fetchState = (): Promise<FleetState> =>
-      reader.handsOverState
-        ? Promise.resolve({
-          endpoints: {
-            next: digest.listNext,
-            changed: digest.listChanged,
-            endpoints,
-            lapsed: [],
-          },
-        })
-        : Promise.reject(new Error("state is not handed over"));
-    if (!reader.silent) {
-      setTimeout(
-        () => world.view.acceptDigest(digest, fetchState),
-        reader.delayMs,
-      );
-    }
-    reader.delayMs = Math.min(
-      reader.delayMs + reader.delayGrowthMs,
-      reader.maxDelayMs,
-    );
-    await waitFor(readIntervalMs, signal);
-  }
-}
-
 Given(
   "a store of the era {int} that answers after {int} ms",
   function (this: ViewWorld, era: number, delayMs: number): void {
@@ -241,7 +87,10 @@
         this.passedOn = update;
         this.passedOnMs = performance.now();
       },
-      onDigestDelay: () => undefined,
+      onDigestDelay: () => {
+        this.onNextDigest?.();
+        this.onNextDigest = undefined;
+      },
       fetchOrigin: () => Promise.resolve(undefined),
       isStopping: () => false,
       logEvent: () => undefined,
@@ -368,6 +217,23 @@
   },
 );
 
+When(
+  "the instance stands still for {int} ms while it takes in a digest",
+  async function (this: ViewWorld, ms: number): Promise<void> {
+    this.onNextDigest = () => this.viewClock?.setSystemTime(Date.now() + ms);
+    this.storeFails = true;
+    while (this.onNextDigest) await this.viewClock?.tickAsync(1);
+  },
+);
+
+Then(
+  "the list of the instance is at least {int} ms old",
+  function (this: ViewWorld, ms: number): void {
+    assert.ok(this.view.getListAgeMs() >= ms, `${this.view.getListAgeMs()} ms`);
+    assert.equal(this.view.listing.isCurrent(), false);
+  },
+);
+
 Then(
   "the store has counted as restored {int} times",
   function (this: ViewWorld, times: number): void {
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -4,6 +4,7 @@
  * others, which also serve as the source while the store is unreachable.
  */
 import {
+  addMs,
   createBacklogs,
   createCapacities,
   createCrashWatch,
@@ -21,11 +22,14 @@
   type FollowedTopic,
   followTopic,
   hasFreeEndpoints,
+  type Instant,
   isTrialOwner,
   keepVersionRecord,
   type ListedEndpoint,
+  noInstant,
   originRetentionMs,
   type PeerDigest,
+  takeInstant,
 } from "@trefoildoor/core";
 import { createReaderChoice } from "./choose_reader.ts";
 import { createConfigurationInForce } from "./configuration_in_force.ts";
@@ -232,7 +236,7 @@
   }
 
   /** Applies the changes that a digest contains, unless changes before them are missing. */
-  function applyUpdate(digest: PeerDigest, listAgeMs: number): void {
+  function applyUpdate(digest: PeerDigest, listAsOf: Instant): void {
     const { next } = endpoints.getOffsets();
     const { update, listNext } = digest;
     if (!update || update.from > next || listNext <= next) return;
@@ -240,31 +244,32 @@
     const page = { records, next: listNext, whole: false };
     endpoints.apply(page);
     listUpdates.add(page, { from: next, changed: records.length > 0 });
-    endpointTopic.advanceTo(listNext, listAgeMs);
+    endpointTopic.advanceTo(listNext, listAsOf);
   }
 
   /** Advances offset and age of the own list if a peer has read further and found no change since the own offset. */
-  function applyUnchanged(digest: PeerDigest, listAgeMs: number): void {
+  function applyUnchanged(digest: PeerDigest, listAsOf: Instant): void {
     const { next } = endpoints.getOffsets();
     if (digest.listNext < next || digest.listChanged > next) return;
     endpoints.advanceTo(digest.listNext);
     listUpdates.advanceTo(digest.listNext);
-    endpointTopic.advanceTo(digest.listNext, listAgeMs);
+    endpointTopic.advanceTo(digest.listNext, listAsOf);
   }
 
   /** Takes the age of the configuration from a peer that knows nothing newer. */
-  function confirmVersion(digest: PeerDigest, delayMs: number): void {
+  function confirmVersion(digest: PeerDigest, sent: Instant): void {
     const isKnown = digest.version === (inForce.get()?.version ?? 0);
     if (!isKnown || typeof digest.versionAgeMs !== "number") return;
-    configuration.confirmUnchanged(digest.versionAgeMs + delayMs);
+    configuration.confirmUnchanged(addMs(sent, -digest.versionAgeMs));
   }
 
   async function mergeState(
     digest: PeerDigest,
-    { listAgeMs, delayMs, fetchState }: {
-      readonly listAgeMs: number;
-      /** Time since the digest was sent, in ms; Infinity if that is not known. */
-      readonly delayMs: number;
+    { listAsOf, sent, fetchState }: {
+      /** When the sender's list was read. */
+      readonly listAsOf: Instant;
+      /** When the digest was sent; `noInstant` if that is not known. */
+      readonly sent: Instant;
       readonly fetchState: (address: string) => Promise<FleetState>;
     },
   ): Promise<void> {
@@ -280,15 +285,12 @@
       }
       if (state.configuration) {
         inForce.apply(state.configuration, digest.name);
-        confirmVersion(digest, delayMs + performance.now() - startedMs);
+        confirmVersion(digest, sent);
       }
       const acceptsList = !isReader() || endpointTopic.getAgeMs() > staleListMs;
       if (acceptsList && endpoints.merge(state.endpoints)) {
         listUpdates.restartAt(state.endpoints.next);
-        endpointTopic.advanceTo(
-          state.endpoints.next,
-          listAgeMs + performance.now() - startedMs,
-        );
+        endpointTopic.advanceTo(state.endpoints.next, listAsOf);
         logEvent(fleetEvents.peerStateAccepted, {
           instance: digest.name,
           listNext: state.endpoints.next,
@@ -362,14 +364,15 @@
     },
     getListAgeMs: () => endpointTopic.getAgeMs(),
     acceptDigest(digest, fetchState): number | undefined {
+      const received = takeInstant();
       if (!peers.acceptDigest(digest)) return undefined;
       if (digest.storeEra !== undefined) {
         acceptEra(digest.storeEra, digest.name);
       }
-      const { ms: delayMs, reliable } = recordDelay(digest);
-      // The list has aged while the digest was in transit.
-      const sinceSentMs = reliable ? delayMs : Infinity;
-      const listAgeMs = digest.listAgeMs + sinceSentMs;
+      const { ms: delayMs, reliable } = recordDelay(digest, received);
+      // Instants, as the process may be stopped before they are used.
+      const sent = reliable ? addMs(received, -delayMs) : noInstant;
+      const listAsOf = addMs(sent, -digest.listAgeMs);
       const down = digest.cut ? {} : digest.down;
       endpointTracker.applyReports(digest.name, { ...digest, down });
       if (!digest.cut) capacities.applyReports(digest);
@@ -383,15 +386,11 @@
       if (digest.crashes && !digest.cut) {
         crashes.applyReports(digest.crashes, delayMs);
       }
-      applyUpdate(digest, listAgeMs);
-      applyUnchanged(digest, listAgeMs);
-      confirmVersion(digest, sinceSentMs);
+      applyUpdate(digest, listAsOf);
+      applyUnchanged(digest, listAsOf);
+      confirmVersion(digest, sent);
       if (!fetching && isBehind(digest)) {
-        void mergeState(digest, {
-          listAgeMs,
-          delayMs: sinceSentMs,
-          fetchState,
-        });
+        void mergeState(digest, { listAsOf, sent, fetchState });
       }
       return delayMs;
     },
