Check a call when it is written, on used connections as well

Callers saw calls reach servers 2.0 to 3.5 s after these had left, up to three from one instance, right after its process had been stopped.

Cause: whether a call may still be written was asked before it was handed to the HTTP client. On a connection that was used before, the client waits a turn of the event loop for bytes that nobody asked for; on a new one it writes some steps later. All calls that were checked in one turn were written in the next one, seconds later if the process was stopped between. The daemon asks in the client's own callback right before the write; the entry does so now. A call that may not be written closes its connection.

Evidence: the new scenario of channels.feature fails on the code before (a call that may no longer be written is written).

--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -77,6 +77,12 @@
     When calls are answered "whole"
     Then 2 connections were opened
 
+  # Guards against calls that are checked, and written a turn of the event loop later (DRAIN).
+  Scenario: A call on a used connection is checked when it is written
+    When calls are answered "whole"
+    And a call may not be written any more when its connection is ready
+    Then the results are "200 body, not sent"
+
   Scenario: A write that comes long after its check is told
     When the process stands still for 60 ms while it writes a call
     Then it is told at least 60 ms after the check that the call is written
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -233,6 +233,15 @@
   },
 );
 
+When(
+  "a call may not be written any more when its connection is ready",
+  async function (this: ChannelsWorld): Promise<void> {
+    let allowed = true;
+    setImmediate(() => allowed = false);
+    await runCall(this, "whole", { mayWrite: () => allowed });
+  },
+);
+
 When(
   "the process stands still for {int} ms while it writes a call",
   async function (this: ChannelsWorld, ms: number): Promise<void> {
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -44,7 +44,7 @@
   readonly maxIdleMs?: number;
   /** Whether a connection is opened for this request alone; it is kept afterwards only if no other is. */
   readonly fresh?: boolean;
-  /** Called right before the request is written to the open connection; false ends it unsent. */
+  /** Called right before the request is written to the open connection; false ends it unsent and closes the connection. */
   readonly mayWrite?: () => boolean;
   /** Called once the operating system has the request, or as much of it as it takes at once. */
   readonly onWritten?: () => void;
@@ -214,11 +214,6 @@
         ? undefined
         : claimIdle(address, request);
       const channel = idleChannel ?? await openChannel(address, request);
-      if (request.mayWrite?.() === false) {
-        if (idleChannel) keepIdle(idleChannel);
-        else closeChannel(channel);
-        throw createRefusal();
-      }
       return await runExchange(channel, request, {
         onFree: releaseChannel,
         onSpent: dropChannel,
@@ -319,6 +314,10 @@
     }, {
       onRequestStart(started): void {
         body.controller = started;
+        // The client takes a turn of the event loop or more until it writes.
+        if (!ended && request.mayWrite?.() === false) {
+          failExchange(createRefusal());
+        }
         if (ended) return started.abort(new Error("call was given up"));
         sent = true;
         recordProgress(channel.socket);
