Pass on when a digest was sent, not how long it took

A process that was stopped in between took an endpoint's last answer for more recent than it was, and the agreed time of day was off by the stop until the next digest. Contacts and dates take the time of sending now; limits and crashes the delay as of their call, which leaves a stop within it. No test shows these: the clock of a test cannot stop between two lines.

--- a/packages/core/src/process/activity/agreed_time.ts
+++ b/packages/core/src/process/activity/agreed_time.ts
@@ -8,10 +8,10 @@
 export interface AgreedTime {
   /** Time in ms since the start of 1970. */
   readonly getMs: () => number;
-  /** Records the date that a peer has told, and how long the news took, in ms. */
+  /** Records the date that a peer told at `sentMs` of `performance.now()`. */
   readonly recordPeer: (
     instance: InstanceName,
-    news: { readonly dateMs: number; readonly delayMs: number },
+    news: { readonly dateMs: number; readonly sentMs: number },
   ) => void;
 }
 
@@ -55,11 +55,11 @@
       }
       return nowMs + median.offsetMs;
     },
-    recordPeer(instance, { dateMs, delayMs }): void {
+    recordPeer(instance, { dateMs, sentMs }): void {
       const receivedMs = performance.now();
       heardMs = receivedMs;
       offsets.set(instance, {
-        offsetMs: dateMs + delayMs - receivedMs,
+        offsetMs: dateMs - sentMs,
         receivedMs,
       });
     },
--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -31,8 +31,8 @@
   readonly confirmEnd: (address: string) => Promise<boolean>;
   /** Contacts of this instance, for its digest. */
   readonly collectReports: () => ContactReports;
-  /** Applies the contacts of a peer's digest, which was sent `delayMs` ago. */
-  readonly applyReports: (reports: ContactReports, delayMs: number) => void;
+  /** Applies the contacts of a peer's digest, which was sent at `sentMs` of `performance.now()`. */
+  readonly applyReports: (reports: ContactReports, sentMs: number) => void;
 }
 
 /** Dependencies of the links. */
@@ -234,8 +234,7 @@
       return false;
     },
     collectReports: own.collectReports,
-    applyReports(reports, delayMs): void {
-      const sentMs = performance.now() - delayMs;
+    applyReports(reports, sentMs): void {
       for (const [address, contact] of Object.entries(reports)) {
         const [ageMs, connectionAgeMs] = contact;
         peers.record(address, {
--- a/packages/core/src/process/links/links.steps.ts
+++ b/packages/core/src/process/links/links.steps.ts
@@ -88,7 +88,7 @@
         name,
         [contactAgeMs, Math.max(connectionAgeMs, 0)],
       ]);
-      world.links.applyReports(Object.fromEntries(reports), 0);
+      world.links.applyReports(Object.fromEntries(reports), performance.now());
     }
     if (passedMs % requestEveryMs === 0) {
       sendRequest(world, { passedMs, requests });
--- a/packages/core/src/process/operator/usage.steps.ts
+++ b/packages/core/src/process/operator/usage.steps.ts
@@ -214,7 +214,10 @@
       this.usageClock?.setSystemTime(trueMs + (this.offsets[own] ?? 0));
       for (const [peer, offsetMs] of this.offsets.entries()) {
         if (peer === own) continue;
-        time.recordPeer(`i${peer}`, { dateMs: trueMs + offsetMs, delayMs: 0 });
+        time.recordPeer(`i${peer}`, {
+          dateMs: trueMs + offsetMs,
+          sentMs: performance.now(),
+        });
       }
       assert.ok(Math.abs(time.getMs() - trueMs) <= withinMs);
     }
@@ -237,7 +240,7 @@
 ): Promise<void> {
   for (const [peer, offsetMs] of this.offsets.entries()) {
     const dateMs = Date.now() + offsetMs;
-    this.ownTime.recordPeer(`i${peer}`, { dateMs, delayMs: 0 });
+    this.ownTime.recordPeer(`i${peer}`, { dateMs, sentMs: performance.now() });
   }
   this.ownTime.getMs();
   await passQuietly(this, seconds);
--- a/packages/node/src/entry/fleet_view.ts
+++ b/packages/node/src/entry/fleet_view.ts
@@ -371,6 +371,7 @@
       }
       const { ms: delayMs, reliable } = recordDelay(digest, received);
       // Instants, as the process may be stopped before they are used.
+      const sentMs = received.monotonicMs - delayMs;
       const sent = reliable ? addMs(received, -delayMs) : noInstant;
       const listAsOf = addMs(sent, -digest.listAgeMs);
       const down = digest.cut ? {} : digest.down;
@@ -381,10 +382,10 @@
         instance: digest.name,
         start: digest.start,
         stopping: digest.stopping,
-        delayMs,
+        delayMs: performance.now() - sentMs,
       });
       if (digest.crashes && !digest.cut) {
-        crashes.applyReports(digest.crashes, delayMs);
+        crashes.applyReports(digest.crashes, performance.now() - sentMs);
       }
       applyUpdate(digest, listAsOf);
       applyUnchanged(digest, listAsOf);
@@ -392,7 +393,7 @@
       if (!fetching && isBehind(digest)) {
         void mergeState(digest, { listAsOf, sent, fetchState });
       }
-      return delayMs;
+      return sentMs;
     },
   };
 }
--- a/packages/node/src/entry/fleet_view_types.ts
+++ b/packages/node/src/entry/fleet_view_types.ts
@@ -42,7 +42,7 @@
   readonly getStoreStatus: () => StoreStatus;
   /** Time since the list of endpoints was last known to be current, in ms; Infinity before the first read. */
   readonly getListAgeMs: () => number;
-  /** Applies a digest and returns its delay in transit, in ms; undefined if it is outdated. Fetches the sender's state if its configuration or list of endpoints is newer. */
+  /** Applies a digest and returns when it was sent, in ms of `performance.now()`; undefined if it is outdated. Fetches the sender's state if its configuration or list of endpoints is newer. */
   readonly acceptDigest: (
     digest: PeerDigest,
     fetchState: (address: string) => Promise<FleetState>,
--- a/packages/node/src/entry/open_link.ts
+++ b/packages/node/src/entry/open_link.ts
@@ -68,17 +68,17 @@
     onDigest: (digest) => {
       const { peerLink } = state;
       if (!peerLink) return;
-      const delayMs = fleet.acceptDigest(digest, peerLink.fetchState);
-      if (delayMs === undefined) return;
+      const sentMs = fleet.acceptDigest(digest, peerLink.fetchState);
+      if (sentMs === undefined) return;
       fleet.shares.applyReports(digest.name, digest.demand);
       if (digest.dateMs !== undefined) {
         running.activity?.time.recordPeer(digest.name, {
           dateMs: digest.dateMs,
-          delayMs,
+          sentMs,
         });
       }
       if (digest.cut) return;
-      links.applyReports(digest.contacts ?? {}, delayMs);
+      links.applyReports(digest.contacts ?? {}, sentMs);
     },
     onPlacements: fleet.backlogs.applyPlacements,
     onFailure: (error) =>
