--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -82,6 +82,8 @@
     When calls are answered "whole"
     And a call may not be written any more when its connection is ready
     Then the results are "200 body, not sent"
+    And the server has got 1 requests
+    And the server has seen 1 connections end
 
   Scenario: A write that comes long after its check is told
     When the process stands still for 60 ms while it writes a call
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -17,6 +17,8 @@
   scripted?: Server;
   scriptedAddress: string;
   script: string[];
+  /** Requests that the server has got. */
+  requests: number;
   sockets: Set<Socket>;
   opened: number;
   results: string[];
@@ -109,6 +111,7 @@
   async function (this: ChannelsWorld): Promise<void> {
     this.channels = createChannels();
     this.script = [];
+    this.requests = 0;
     this.sockets = new Set();
     this.opened = 0;
     this.results = [];
@@ -126,6 +129,7 @@
         text += chunk.toString("latin1");
         if (!text.includes(requestEnd)) return;
         text = "";
+        this.requests += 1;
         answerScripted(this, { socket, step: this.script.shift() ?? "" });
       });
     });
@@ -271,6 +275,13 @@
   },
 );
 
+Then(
+  "the server has got {int} requests",
+  function (this: ChannelsWorld, expected: number): void {
+    assert.equal(this.requests, expected);
+  },
+);
+
 Then(
   "the server has seen {int} connections end",
   function (this: ChannelsWorld, expected: number): void {
