Send completions over connections of their own

Callers of the daemon: 10 of 20 completions were refused as without effect while their engine ran them, where the engine wrote a refusal that nobody asked for before each further answer on a connection (the new scenario of repeated_refusals.feature, which failed). The daemon then tries another engine, or answers 503 with the outcome not_run, by which it tells its caller that the completion has not run and will not.

A completion's connection carries no other call now, so a refusal there can only be its own; engines that refuse truthfully are believed as before. It costs a new connection for each completion, which lasts for seconds.

--- a/packages/core/src/connection/endpoint/engine_client.ts
+++ b/packages/core/src/connection/endpoint/engine_client.ts
@@ -74,6 +74,8 @@
         path: "/v1/completions",
         headers: jsonHeaders,
         body: encodeCompletion(request),
+        // Answers name no attempt, as those of services.
+        single: true,
         mayWrite,
         signal,
       }),
--- a/packages/core/src/connection/repeated_refusals.feature
+++ b/packages/core/src/connection/repeated_refusals.feature
@@ -24,6 +24,13 @@
     Then no call that has run is refused as without effect
     And each call has run or is refused
 
+  # Guards against refusals that nobody asked for, taken for the answer to the completion that runs.
+  Scenario: A refusal that nobody asked for refuses no completion
+    Given a server that writes a refusal that nobody asked for before each further answer on a connection
+    When 20 completions of its engine come one after the other
+    Then no call that has run is refused as without effect
+    And each call has run or is refused
+
   Scenario: Connections of calls that succeed are kept
     Given a server that answers all calls
     When 20 calls are sent one after the other
--- a/packages/core/src/connection/repeated_refusals.steps.ts
+++ b/packages/core/src/connection/repeated_refusals.steps.ts
@@ -8,14 +8,14 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { Effect, RemoteError } from "../types/index.ts";
+import { Effect, Priority, RemoteError } from "../types/index.ts";
 import { openEndpointClients } from "./endpoint/index.ts";
 import { openHttpConnections } from "./http/index.ts";
 
 /** State of one scenario. */
 interface RefusalWorld {
   refusalServer?: Server;
-  /** Paths of calls that have run. */
+  /** Paths of calls, and attempts of completions, that have run. */
   ran: Set<string>;
   sockets: Set<Socket>;
   results: { readonly path: string; readonly error?: unknown }[];
@@ -55,11 +55,12 @@
     this.ran = new Set();
     this.sockets = new Set();
     this.results = [];
-    this.refusalServer = createServer((request, response) => {
+    this.refusalServer = createServer(async (request, response) => {
       const { socket } = request;
+      const id = await readId(request);
       if (this.sockets.has(socket)) socket.write(formatRefusal("503"));
       this.sockets.add(socket);
-      this.ran.add(request.url ?? "");
+      this.ran.add(id);
       response.end("{}");
     });
     const server = this.refusalServer;
@@ -85,6 +86,32 @@
   },
 );
 
+When(
+  "{int} completions of its engine come one after the other",
+  async function (this: RefusalWorld, count: number): Promise<void> {
+    const { port } = this.refusalServer?.address() as AddressInfo;
+    const clients = openEndpointClients();
+    const engine = clients.openEngine("e1", `${host}:${port}`);
+    for (let each = 0; each < count; each++) {
+      const path = `attempt-${each}`;
+      const events = engine.generate({
+        attemptId: path,
+        model: "m",
+        prompt: "",
+        maxTokens: 1,
+        priority: Priority.Interactive,
+      }, new AbortController().signal);
+      try {
+        for await (const _event of events);
+        this.results.push({ path });
+      } catch (error) {
+        this.results.push({ path, error });
+      }
+    }
+    await clients.close();
+  },
+);
+
 When(
   /^(\d+) calls are sent (?:one after the other|at a time on (\d+) connections)$/,
   async function (
@@ -164,6 +191,15 @@
   return true;
 }
 
+/** Reads a request to its end; returns the attempt of a completion, and the path of any other call. */
+async function readId(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk);
+  const text = Buffer.concat(chunks).toString();
+  const attempt = /"attempt_id":"([^"]+)"/.exec(text)?.[1];
+  return attempt ?? request.url ?? "";
+}
+
 function formatRefusal(status: string): string {
   return `HTTP/1.1 ${status} Refused\r\ncontent-length: ${refusalBody.length}\r\n\r\n${refusalBody}`;
 }
