--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -264,7 +264,7 @@
 /** What was known when a call was checked for the last time before its write. */
 interface CheckedWrite {
   readonly endpoint: ListedEndpoint;
-  /** When its endpoint was chosen, in ms of `performance.now()`. */
+  /** Time of the choice of its endpoint, in ms of `performance.now()`. */
   readonly chosenMs: number;
   /** When it was checked, in ms of `performance.now()`. */
   readonly checkedMs: number;
