Take no answer with a status that the protocol does not have

Cause: the parser takes any three digits for a status, and nothing after it asked. Change: both clients end an answer whose status is not from 100 to 599; the call may have run. The same place now refuses transfer encodings other than chunked. Nobody asks for one, the body then ends with the connection, and the entry counted such an answer as one with a stated end: it passed it on with a length of its own, also when it had broken off.

Names with a blank or a control byte, folded lines, two lengths were refused before and are kept as tests.

--- a/packages/core/src/connection/http/careful_client.ts
+++ b/packages/core/src/connection/http/careful_client.ts
@@ -5,6 +5,7 @@
  * later call may use the connection.
  */
 import type { Socket } from "node:net";
+import { findHeadFault } from "./answer_heads.ts";
 import {
   boundedReads,
   buildInterimError,
@@ -73,6 +74,9 @@
     onRequestUpgrade: (controller, status, headers, socket) =>
       handler.onRequestUpgrade?.(controller, status, headers, socket),
     onResponseStart: (controller, status, headers, message) => {
+      const encoding = headers["transfer-encoding"];
+      const fault = findHeadFault(status, encoding && String(encoding));
+      if (fault !== undefined) return controller.abort(new Error(fault));
       if (!countInterim(status)) return controller.abort(buildInterimError());
       if (status >= firstFinal) recordProgress();
       failed = status >= firstError;
--- a/packages/core/src/connection/http/index.ts
+++ b/packages/core/src/connection/http/index.ts
@@ -1,4 +1,5 @@
 /** HTTP connections to the platform and to endpoints. */
+export { findHeadFault } from "./answer_heads.ts";
 export {
   boundedReads,
   buildInterimError,
--- a/packages/core/src/connection/index.ts
+++ b/packages/core/src/connection/index.ts
@@ -5,6 +5,7 @@
   buildInterimError,
   ConnectionAttempt,
   createInterimCounter,
+  findHeadFault,
   maxHeadBytes,
   recordProgress,
   tryConnection,
--- a/packages/core/src/connection/torn_answers.feature
+++ b/packages/core/src/connection/torn_answers.feature
@@ -31,3 +31,20 @@
       | without length                | 200 body |
       | without length, reset         | unknown  |
       | without length, reset at once | unknown  |
+
+  # Guards against bytes that are no answer of the protocol, passed on as one (MIXED).
+  Scenario Outline: A head of a service that the protocol does not allow is no answer
+    Given a service that answers "HTTP/1.1 <head>"
+    When the service is called
+    Then the answer of the service is "unknown"
+
+    Examples:
+      | head                                     |
+      | 000 X; content-length: 4                 |
+      | 600 X; content-length: 4                 |
+      | 999 X; content-length: 4                 |
+      | 200 X; x y: 1; content-length: 4         |
+      | 200 X; content-length : 4                |
+      | 200 X; transfer-encoding: identity       |
+      | 200 X; transfer-encoding: gzip           |
+      | 200 X; transfer-encoding: chunked, gzip  |
--- a/packages/core/src/connection/torn_answers.steps.ts
+++ b/packages/core/src/connection/torn_answers.steps.ts
@@ -32,6 +32,9 @@
 ): void {
   const head = /^head of (\d+) bytes$/.exec(script);
   if (head) return void socket.end(whole.slice(0, Number(head[1])));
+  if (script.startsWith("HTTP/")) {
+    return void socket.end(`${script.replaceAll("; ", "\r\n")}\r\n\r\nbody`);
+  }
   switch (script) {
     case "whole":
       return void socket.end(whole);
--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -37,6 +37,34 @@
       | early without length; reset later     | unknown            |
       | early without length; ended           | 200 body to the end |
 
+  # Guards against bytes that are no answer of the protocol, passed on as one (MIXED).
+  Scenario Outline: A head that the protocol does not allow is no answer
+    When a call is answered with the head "<head>"
+    Then the results are "unknown"
+
+    Examples:
+      | head                                         |
+      | 000 X; content-length: 4                     |
+      | 099 X; content-length: 4                     |
+      | 600 X; content-length: 4                     |
+      | 999 X; content-length: 4                     |
+      | 20 X; content-length: 4                      |
+      | 2000 X; content-length: 4                    |
+      | 200 X; x y: 1; content-length: 4             |
+      | 200 X; content-length : 4                    |
+      | 200 X;  x: 1; content-length: 4              |
+      | 200 X; x: 1;  content-length: 4              |
+      | 200 X; x<01>y: 1; content-length: 4          |
+      | 200 X; x<00>y: 1; content-length: 4          |
+      | 200 X; x<7f>y: 1; content-length: 4          |
+      | 200 X; : 1; content-length: 4                |
+      | 200 X; x; content-length: 4                  |
+      | 200 X; x: <01>; content-length: 4            |
+      | 200 X; content-length: 2; content-length: 4  |
+      | 200 X; transfer-encoding: identity           |
+      | 200 X; transfer-encoding: gzip               |
+      | 200 X; transfer-encoding: chunked, gzip      |
+
   Scenario: An answer that is given up closes its connection at once
     When a call is given up while its answer arrives
     Then the server sees its connection closed
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -95,6 +95,9 @@
     default: {
       const head = /^head of (\d+) bytes$/.exec(step);
       if (head) return void socket.end(whole.slice(0, Number(head[1])));
+      if (step.startsWith("HTTP/")) {
+        return void socket.end(`${step}\r\n\r\n${body}`, "latin1");
+      }
       const bytes = Number(step);
       socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${bytes}\r\n\r\n`);
       socket.write(Buffer.alloc(bytes), () => world.sentAll = true);
@@ -212,6 +215,17 @@
   },
 );
 
+When(
+  "a call is answered with the head {string}",
+  async function (this: ChannelsWorld, lines: string): Promise<void> {
+    const head = lines.replaceAll("; ", "\r\n").replaceAll(
+      /<(\w\w)>/g,
+      (_match, code) => String.fromCharCode(parseInt(code, 16)),
+    );
+    await runCall(this, `HTTP/1.1 ${head}`);
+  },
+);
+
 When(
   "the next call allows an idle time of {int} ms and is answered {string}",
   async function (
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -8,6 +8,7 @@
   buildInterimError,
   ConnectionAttempt,
   createInterimCounter,
+  findHeadFault,
   isIpv4Address,
   maxHeadBytes,
   recordProgress,
@@ -328,12 +329,14 @@
       onResponseStart(started, status): void {
         options.observer?.onContact(channel.address, channel.connectedMs);
         if (ended) return;
+        const raw = started.rawHeaders as readonly Buffer[] | null;
+        const headers = (raw ?? []).map((each) => each.toString("latin1"));
+        const fault = findHeadFault(status, getTransferEncoding(headers));
+        if (fault !== undefined) return started.abort(new Error(fault));
         if (!countInterim(status)) return started.abort(buildInterimError());
         if (status < 200) return;
         headReceived = true;
         recordProgress(channel.socket);
-        const raw = started.rawHeaders as readonly Buffer[] | null;
-        const headers = (raw ?? []).map((each) => each.toString("latin1"));
         const { connectedMs, answers, refusedIds } = channel;
         const { id } = request;
         resolve({
@@ -376,6 +379,14 @@
   });
 }
 
+/** Values of `Transfer-Encoding`, joined by commas; undefined if there are none. */
+function getTransferEncoding(headers: readonly string[]): string | undefined {
+  const values = headers.filter((_value, index) =>
+    index % 2 === 1 && headers[index - 1]?.toLowerCase() === "transfer-encoding"
+  );
+  return values.length === 0 ? undefined : values.join(", ");
+}
+
 function isFramed(headers: readonly string[]): boolean {
   return headers.some((name, index) =>
     index % 2 === 0 && framingHeaders.has(name.toLowerCase())
