Send no call to an endpoint that has said that it leaves

The users saw calls reach a server after the same entry had passed on an answer of it with Server-Leaving (ORDER).

Cause: an entry went by the store's list alone (hypothesis 1 of docs/incidents/announced_leaves.md). What an endpoint says of leaving in its answers and reports was read by nobody, so calls of all kinds went on until the store listed it as leaving.

Change: the word binds from the head of the answer on, before any of it goes to the caller, at the choice and at the write of each call, export and order, for the life of the process that the list names. Peers learn it by digests, and an instance that passes a peer's answer on by a header of that answer. Line 889 tells who heard it from whom. Ways weighed: decision 078.

The header's meaning is a guess (docs/QUESTIONS.md); a value that says no is taken for one.

--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -83,3 +83,40 @@
     When another instance knows "e1, e4" up to offset 90
     And the store is read anew and shows "e1, e2"
     Then the endpoints that take work are "e1, e4"
+
+  # Guards against calls to endpoints that have said that they leave, until the store says it, too (ORDER).
+  Scenario: An endpoint that says that it leaves takes no new work, whatever the store shows
+    When "e1" says that it leaves
+    Then the endpoints that take work are "e2, e3"
+    And peers are told that "e1" leaves
+    When the store shows "e1"
+    And the store is read anew and shows "e1, e2, e3"
+    And another instance knows "e1, e2, e3" up to offset 90
+    And 60000 ms pass for the list
+    Then the endpoints that take work are "e2, e3"
+    When the store shows "e1 leaving"
+    Then peers are told of no endpoint that leaves
+    When the store removes "e1"
+    And the store shows "e1"
+    Then the endpoints that take work are "e2, e3"
+    When the store shows "e1 restarted"
+    Then the endpoints that take work are "e1, e2, e3"
+
+  Scenario: An endpoint that says to a peer that it leaves takes no new work, and is not told on
+    When a peer tells that "e1" leaves
+    Then the endpoints that take work are "e2, e3"
+    And peers are told of no endpoint that leaves
+    When "e1" says that it leaves
+    Then peers are told that "e1" leaves
+    When the store shows "e1 restarted"
+    Then the endpoints that take work are "e1, e2, e3"
+    And peers are told of no endpoint that leaves
+
+  Scenario: What a peer tells of an endpoint that is not listed yet holds once it is
+    When a peer tells that "e4" leaves
+    And the store shows "e4"
+    Then the endpoints that take work are "e1, e2, e3"
+
+  Scenario: Another instance gets the list as the store has it
+    When "e1" says that it leaves
+    Then the list for another instance shows no endpoint that leaves
--- a/packages/core/src/process/fleet/endpoint_list.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_list.steps.ts
@@ -94,6 +94,44 @@
   },
 );
 
+When(
+  "{string} says that it leaves",
+  function (this: ListWorld, name: string): void {
+    for (const endpoint of parseEndpoints(name)) {
+      this.list.recordLeaving(endpoint);
+    }
+  },
+);
+
+When(
+  "a peer tells that {string} leaves",
+  function (this: ListWorld, name: string): void {
+    this.list.applyLeaving({ [name]: 1 }, "peer");
+  },
+);
+
+Then(
+  "peers are told that {string} leaves",
+  function (this: ListWorld, name: string): void {
+    assert.deepEqual(this.list.collectLeaving(), { [name]: 1 });
+  },
+);
+
+Then(
+  "peers are told of no endpoint that leaves",
+  function (this: ListWorld): void {
+    assert.equal(this.list.collectLeaving(), undefined);
+  },
+);
+
+Then(
+  "the list for another instance shows no endpoint that leaves",
+  function (this: ListWorld): void {
+    const { endpoints } = this.list.getSnapshot();
+    assert.deepEqual(endpoints.filter(({ leaving }) => leaving), []);
+  },
+);
+
 When(
   "the store is read anew and shows {string}",
   function (this: ListWorld, text: string): void {
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -11,6 +11,7 @@
   TopicRecord,
 } from "../../types/index.ts";
 import { fleetEvents } from "./events.ts";
+import { createLeaveNotices, type LeaveReports } from "./leave_notices.ts";
 
 /** Content of the list up to an offset of its topic. */
 export interface EndpointSnapshot {
@@ -29,6 +30,12 @@
   readonly listAccepting: (service: ServiceName) => readonly ListedEndpoint[];
   /** Whether the process that an entry describes is still listed and accepts new work. */
   readonly isAccepting: (endpoint: ListedEndpoint) => boolean;
+  /** Records that a process told this instance that it leaves; it takes no new work from then on, whatever the list says. */
+  readonly recordLeaving: (endpoint: ListedEndpoint) => void;
+  /** Records the same of processes that told a peer. */
+  readonly applyLeaving: (reports: LeaveReports, peer: string) => void;
+  /** What processes told this instance and the store does not say yet; undefined if there is nothing. */
+  readonly collectLeaving: () => LeaveReports | undefined;
   /** All endpoints, including leaving ones. */
   readonly listAll: () => readonly ListedEndpoint[];
   /** Applies records of the list's topic; with `whole`, endpoints without a record are removed. */
@@ -67,7 +74,10 @@
 const maxRemoved = 1_024;
 
 interface Entry {
-  endpoint: ListedEndpoint;
+  /** As the store lists it. */
+  readonly listed: ListedEndpoint;
+  /** The same, and leaving if its process has said so. */
+  readonly endpoint: ListedEndpoint;
   /** When a lapsed endpoint is removed, on the monotonic clock; undefined while the endpoint is listed. */
   expiryMs?: number;
 }
@@ -76,6 +86,7 @@
 export function createEndpointList(options: EndpointListOptions): EndpointList {
   const log = options.logEvent ?? logEvent;
   const entries = new Map<EndpointName, Entry>();
+  const notices = createLeaveNotices();
   let next = 0;
   let changed = 0;
   let hasChanged = false;
@@ -96,16 +107,17 @@
       : endpoint.sequence <= sequence;
   }
 
-  function setEndpoint(endpoint: ListedEndpoint): void {
-    const known = entries.get(endpoint.name);
-    if (isOutdated(endpoint)) {
+  function setEndpoint(listed: ListedEndpoint): void {
+    const known = entries.get(listed.name);
+    if (isOutdated(listed)) {
       return log(fleetEvents.endpointOutdated, {
-        ...describe(endpoint, next),
-        sequence: endpoint.sequence,
+        ...describe(listed, next),
+        sequence: listed.sequence,
       });
     }
-    entries.set(endpoint.name, { endpoint });
-    if (!known || !isSame(known.endpoint, endpoint)) hasChanged = true;
+    const endpoint = applyNotice(listed);
+    entries.set(endpoint.name, { listed, endpoint });
+    if (!known || !isSame(known.listed, listed)) hasChanged = true;
     if (known && isRestart(known.endpoint, endpoint)) {
       options.onReplaced?.(known.endpoint);
     }
@@ -117,6 +129,22 @@
     }
   }
 
+  function applyNotice(listed: ListedEndpoint): ListedEndpoint {
+    return notices.has(listed) ? { ...listed, leaving: true } : listed;
+  }
+
+  /** Applies a new notice to the entry of its endpoint. */
+  function markLeaving(name: EndpointName, from: string): void {
+    const known = entries.get(name);
+    log(fleetEvents.leaveAnnounced, {
+      endpoint: name,
+      from,
+      listedLeaving: known?.listed.leaving,
+    });
+    if (!known) return;
+    entries.set(name, { ...known, endpoint: applyNotice(known.listed) });
+  }
+
   function removeEndpoint(name: EndpointName): void {
     const known = entries.get(name);
     if (!known) {
@@ -178,6 +206,23 @@
       listAll().filter((endpoint) =>
         endpoint.service === service && !endpoint.leaving
       ),
+    recordLeaving(endpoint): void {
+      if (notices.add(endpoint)) markLeaving(endpoint.name, "endpoint");
+    },
+    applyLeaving(reports, peer): void {
+      for (const [name, startedAtMs] of Object.entries(reports)) {
+        if (notices.addReport(name, startedAtMs)) markLeaving(name, peer);
+      }
+    },
+    collectLeaving(): LeaveReports | undefined {
+      const told = [...entries.values()].flatMap(({ listed }) =>
+        listed.startedAtMs !== undefined && !listed.leaving &&
+          notices.isOwn(listed)
+          ? [[listed.name, listed.startedAtMs]]
+          : []
+      );
+      return told.length > 0 ? Object.fromEntries(told) : undefined;
+    },
     apply(page): void {
       // A peer's update may have arrived while this older state was read.
       if (page.whole && page.next < next) return;
@@ -229,7 +274,9 @@
     getSnapshot: () => ({
       next,
       changed,
-      endpoints: listAll(),
+      endpoints: listAll().flatMap(({ name }) =>
+        entries.get(name)?.listed ?? []
+      ),
       lapsed: [...entries.values()]
         .filter(({ expiryMs }) => expiryMs !== undefined)
         .map(({ endpoint }) => endpoint.name),
--- a/packages/core/src/process/fleet/events.ts
+++ b/packages/core/src/process/fleet/events.ts
@@ -1,4 +1,4 @@
-/** Numbered log events of an instance's view of the fleet, 800 to 829. */
+/** Numbered log events of an instance's view of the fleet, 800 to 828 and 889. */
 import { type EventType, Severity } from "../../shared/index.ts";
 
 /** Log events of topics, endpoints, peers, duties and role changes. */
@@ -152,4 +152,9 @@
     severity: Severity.Info,
     message: "known state of a topic is recent enough again",
   },
+  leaveAnnounced: {
+    number: 889,
+    severity: Severity.Info,
+    message: "endpoint said that it leaves and gets no new work",
+  },
 } satisfies Record<string, EventType>;
--- a/packages/core/src/process/fleet/index.ts
+++ b/packages/core/src/process/fleet/index.ts
@@ -33,6 +33,7 @@
   type EndpointSnapshot,
 } from "./endpoint_list.ts";
 export { fleetEvents } from "./events.ts";
+export type { LeaveReports } from "./leave_notices.ts";
 export {
   type AppliedPage,
   type FollowedTopic,
--- a/packages/core/src/process/fleet/keep_roles.feature
+++ b/packages/core/src/process/fleet/keep_roles.feature
@@ -80,6 +80,14 @@
     When 3000 ms pass for the roles
     Then the orders are ""
 
+  Scenario: An engine that reports that it leaves gets no order and no work
+    Given a pool with 4 prefill and 4 decode engines
+    And an instance that keeps a share of 0.62
+    And engines report that they leave
+    When 2100 ms pass for the roles
+    Then the orders are ""
+    And the engine "d1" takes no work
+
   Scenario: Nothing is ordered without the duty
     Given a pool with 4 prefill and 4 decode engines
     And an instance that keeps a share of 0.62
--- a/packages/core/src/process/fleet/keep_roles.steps.ts
+++ b/packages/core/src/process/fleet/keep_roles.steps.ts
@@ -31,6 +31,7 @@
   isListFresh: boolean;
   answering: boolean;
   changing: boolean;
+  enginesLeave?: boolean;
   isDutyFree: boolean;
   isTermCurrent: boolean;
   /** What happens while a connection for an order is opened. */
@@ -88,6 +89,18 @@
   },
 );
 
+Given("engines report that they leave", function (this: RolesWorld): void {
+  this.enginesLeave = true;
+});
+
+Then("the engine {string} takes no work", function (
+  this: RolesWorld,
+  name: string,
+): void {
+  const accepting = this.listed.listAccepting(service);
+  assert.ok(!accepting.some((each) => each.name === name));
+});
+
 Given(
   "an instance that keeps a share of {float}",
   function (this: RolesWorld, prefillShare: number): void {
@@ -128,6 +141,7 @@
             orders: 0,
             running: 0,
             waiting: 0,
+            leaving: this.enginesLeave,
           }),
         order: async (order, { mayWrite }) => {
           await this.openConnection();
--- a/packages/core/src/process/fleet/keep_roles.ts
+++ b/packages/core/src/process/fleet/keep_roles.ts
@@ -128,7 +128,7 @@
     if (!term) return;
     await Promise.all(changes.map((change, index) => {
       const report = reports[index];
-      if (!report || report.changing) return;
+      if (!report || report.changing || report.leaving) return;
       return orderChange(change, { term, report, service });
     }));
   }
@@ -137,7 +137,9 @@
     { endpoint }: PlannedRole,
   ): Promise<EngineReport | undefined> {
     try {
-      return await options.control.fetchReport(endpoint);
+      const report = await options.control.fetchReport(endpoint);
+      if (report.leaving) options.endpoints.recordLeaving(endpoint);
+      return report;
     } catch (error) {
       log(fleetEvents.roleOrderFailed, {
         endpoint: endpoint.name,
--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -14,6 +14,7 @@
 import type { DownEndpoints, PartReports } from "./endpoint_tracker.ts";
 import { fleetEvents } from "./events.ts";
 import type { ChangingEngine } from "./keep_roles.ts";
+import type { LeaveReports } from "./leave_notices.ts";
 import type { ListUpdate } from "./list_updates.ts";
 import type { LoadReports } from "./peer_reports.ts";
 
@@ -51,6 +52,8 @@
   readonly reads: PartReports;
   readonly down: DownEndpoints;
   readonly changing: readonly ChangingEngine[];
+  /** Endpoints that told the instance that they leave, while the store does not say so; absent if there are none. */
+  readonly leaving?: LeaveReports;
   /** News of crashes under calls; absent if there are none. */
   readonly crashes?: CrashReports;
   /** Limits of endpoints and the instance's own requests there; absent if there are none. */
--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -199,6 +199,8 @@
   });
   if (answer.head.status !== misdirectedStatus) {
     const { connectedMs } = answer;
+    // Before its caller has it: no call may follow to an endpoint that has said it.
+    if (answer.head.leaving) parts.endpoints.recordLeaving(facts.endpoint);
     parts.crashes.recordAnswer(facts.endpoint, { sentMs, connectedMs });
     recordLimit(state, facts, answer);
   }
--- a/packages/core/src/request/forwarding/fake_endpoints.test.ts
+++ b/packages/core/src/request/forwarding/fake_endpoints.test.ts
@@ -175,6 +175,7 @@
     status: unstated ? Number(unstated) : statuses[behaviour] ?? 200,
     headers: ["x-endpoint", "yes"],
     callId: behaviour === "foreign" ? "another" : isNamed ? call.id : undefined,
+    leaving: false,
     notRun: !isNamed ||
       ["full", "copied", "misdirected", "endless refusal"].includes(behaviour),
     genuine: behaviour !== "unmarked",
--- a/packages/core/src/request/forwarding/relay_stream.ts
+++ b/packages/core/src/request/forwarding/relay_stream.ts
@@ -90,12 +90,12 @@
       if (!split) continue;
       state.lastId = split.lastId ?? state.lastId;
       if (splitter) recordOrigin(state, engine);
-      startAnswer(state, answer);
+      startAnswer(state, run);
       await state.answer.write(split.bytes);
     }
     if (!end.isWhole(answer)) throw buildMalformed("stream ended too early");
     await confirmWhole(state, engine, answer);
-    startAnswer(state, answer);
+    startAnswer(state, run);
   } finally {
     idleTimer?.cancel();
   }
@@ -112,9 +112,13 @@
 }
 
 /** Begins the caller's answer, in chunks also where the engine's has no length: one that ends with its connection would look complete if this process ended. */
-function startAnswer(state: StreamState, { head }: EndpointAnswer): void {
+function startAnswer(
+  state: StreamState,
+  { answer: { head }, engine }: EngineRun,
+): void {
   if (state.answer.isStarted()) return;
-  state.answer.start(head.status, head.headers);
+  const options = head.leaving ? { leaving: engine } : undefined;
+  state.answer.start(head.status, head.headers, options);
   state.firstByteMs = getAgeMs(state);
 }
 
@@ -126,7 +130,7 @@
   try {
     const body = await readBody(answer, { held: state.parts.held });
     open.close(CallEnd.Failed);
-    const { status, headers } = answer.head;
+    const { status, headers, leaving } = answer.head;
     if (mayRunAgain(state) || state.answer.isStarted()) {
       state.excluded.add(engine.name);
       return new Error(`engine answered with status ${status}`);
@@ -134,7 +138,10 @@
     if (isRunOnce(state) && isPromise(status)) {
       return buildUnproven(status, { runs: state.runs, endpoint: engine.name });
     }
-    state.answer.start(status, headers, { length: body.length });
+    state.answer.start(status, headers, {
+      length: body.length,
+      ...leaving && { leaving: engine },
+    });
     await state.answer.write(body);
     state.answer.end();
     return {
--- a/packages/core/src/request/forwarding/run_plain.ts
+++ b/packages/core/src/request/forwarding/run_plain.ts
@@ -234,11 +234,10 @@
 
 function answerWhole(state: CallState, whole: WholeAnswer): ForwardEnd {
   const { head, framed } = whole.answer;
-  state.answer.start(
-    head.status,
-    head.headers,
-    framed ? { length: whole.body.length } : { untilClose: true },
-  );
+  state.answer.start(head.status, head.headers, {
+    ...framed ? { length: whole.body.length } : { untilClose: true },
+    ...head.leaving && { leaving: whole.endpoint },
+  });
   const firstByteMs = getAgeMs(state);
   void state.answer.write(whole.body);
   state.answer.end();
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -98,6 +98,8 @@
   readonly length?: number;
   /** Whether the body ends when the connection closes, as in the endpoint's answer. Only for bodies that are written at once: a process that ends while it writes closes its connections as well. */
   readonly untilClose?: boolean;
+  /** The answer's endpoint where the answer says that it leaves, for a peer that passes it on. */
+  readonly leaving?: ListedEndpoint;
 }
 
 /** Writes the answer of one call to its caller. */
--- a/packages/core/src/types/forwarding.ts
+++ b/packages/core/src/types/forwarding.ts
@@ -221,6 +221,8 @@
   readonly limitPerSecond?: number;
   /** Load of the endpoint when it answered; absent if it states none. */
   readonly load?: StatedLoad;
+  /** Whether the endpoint states that it leaves. */
+  readonly leaving: boolean;
 }
 
 /** State reported by an engine; some hundred ms old. */
@@ -232,6 +234,8 @@
   readonly orders: number;
   readonly running: number;
   readonly waiting: number;
+  /** Whether the engine leaves; absent if it does not say. */
+  readonly leaving?: boolean;
 }
 
 /** An order that changes an engine's role. */
--- a/packages/node/src/entry/accept_hand_over.ts
+++ b/packages/node/src/entry/accept_hand_over.ts
@@ -113,6 +113,7 @@
       const answer = createAnswer(response, {
         isLeaving: () => false,
         unframedHeader: LinkHeader.Unframed,
+        leavingHeader: LinkHeader.Leaving,
       });
       runCall(request, { response, answer }).catch((error: unknown) => {
         if (request.destroyed && !response.writable) return;
--- a/packages/node/src/entry/endpoint_sender.steps.ts
+++ b/packages/node/src/entry/endpoint_sender.steps.ts
@@ -64,6 +64,7 @@
       callId: undefined,
       genuine: true,
       notRun: false,
+      leaving: false,
       encoded: false,
     }),
     decodeExport: () => undefined,
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -11,6 +11,7 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { CallerAnswer, CallerLimits } from "@trefoildoor/core";
 import { answerRequestErrors } from "../connection/request_errors.ts";
+import { encodeLeaving } from "./hand_over_wire.ts";
 
 /** A caller's request with its complete body. */
 export interface CallerRequest {
@@ -208,6 +209,8 @@
     readonly isLeaving: () => boolean;
     /** Header that tells a peer of a body that would end with the connection; the body is then sent in chunks. */
     readonly unframedHeader?: string;
+    /** Header that tells a peer that the answer's endpoint leaves. */
+    readonly leavingHeader?: string;
   },
 ): CallerAnswer {
   const left = new AbortController();
@@ -224,8 +227,11 @@
   return {
     left: left.signal,
     isStarted: () => response.headersSent,
-    start(status, headers, { length, untilClose = false } = {}): void {
+    start(status, headers, { length, untilClose = false, leaving } = {}): void {
       const all = [...headers];
+      if (leaving?.startedAtMs !== undefined && options.leavingHeader) {
+        all.push(options.leavingHeader, encodeLeaving(leaving));
+      }
       if (length !== undefined) all.push("content-length", String(length));
       const { unframedHeader } = options;
       const endsWithConnection = untilClose && unframedHeader === undefined;
--- a/packages/node/src/entry/hand_over.ts
+++ b/packages/node/src/entry/hand_over.ts
@@ -25,7 +25,12 @@
 } from "@trefoildoor/core";
 import type { ChannelAnswer } from "./channels.ts";
 import type { CallerRequest } from "./front_server.ts";
-import { findHeader, LinkHeader, pickPassedHeaders } from "./hand_over_wire.ts";
+import {
+  decodeLeaving,
+  findHeader,
+  LinkHeader,
+  pickPassedHeaders,
+} from "./hand_over_wire.ts";
 import type { Running } from "./running.ts";
 
 /** Hands calls over to peers. */
@@ -142,6 +147,9 @@
       await answer.body[Symbol.asyncIterator]().return?.();
       throw new Error("refusal was not given by the peer to this call");
     }
+    if (isOwn) {
+      fleet.endpoints.applyLeaving(decodeLeaving(answer.headers), peer.name);
+    }
     if (refused === undefined) return answer;
     await dropAnswer(answer);
     logFailure(peer, { call, sent: false, error: refused });
--- a/packages/node/src/entry/hand_over_wire.ts
+++ b/packages/node/src/entry/hand_over_wire.ts
@@ -1,4 +1,5 @@
 /** Headers of calls that instances hand over to each other, and which headers of a call and its answer pass. */
+import type { LeaveReports, ListedEndpoint } from "@trefoildoor/core";
 
 /** Headers of the link between instances, in lower case. */
 export enum LinkHeader {
@@ -14,6 +15,8 @@
   Refused = "trefoildoor-refused",
   /** On answers: the endpoint's answer had no length; between instances it comes in chunks, so that a break shows. */
   Unframed = "trefoildoor-unframed",
+  /** On answers: start of its process and name of the answer's endpoint, which says in it that it leaves. */
+  Leaving = "trefoildoor-leaving",
 }
 
 const linkPrefix = "trefoildoor-";
@@ -30,6 +33,20 @@
   "upgrade",
 ]);
 
+/** Encodes what an endpoint says of leaving. */
+export function encodeLeaving(
+  { name, startedAtMs }: Pick<ListedEndpoint, "name" | "startedAtMs">,
+): string {
+  return `${startedAtMs} ${name}`;
+}
+
+/** Decodes what the endpoint of a peer's answer says of leaving; empty if it says nothing. */
+export function decodeLeaving(headers: readonly string[]): LeaveReports {
+  const value = findHeader(headers, LinkHeader.Leaving);
+  const [, startedAtMs, name = ""] = value?.match(/^(\d+) (.+)$/) ?? [];
+  return startedAtMs === undefined ? {} : { [name]: Number(startedAtMs) };
+}
+
 /** Returns the headers, as names and values in turn, without those of one connection and of the link. */
 export function pickPassedHeaders(headers: readonly string[]): string[] {
   const passed: string[] = [];
--- a/packages/node/src/entry/open_link.ts
+++ b/packages/node/src/entry/open_link.ts
@@ -35,6 +35,7 @@
     // What a cut instance believes of endpoints is not true for others.
     down: links.isDoubtful() ? {} : fleet.endpointTracker.listDown(),
     changing: roles.listOrdered(),
+    leaving: fleet.endpoints.collectLeaving(),
     takesPlacements: true,
     limits: fleet.limits.collectReports(),
     demand: fleet.shares.collectReports(),
@@ -70,6 +71,7 @@
       if (!peerLink) return;
       const sentMs = fleet.acceptDigest(digest, peerLink.fetchState);
       if (sentMs === undefined) return;
+      fleet.endpoints.applyLeaving(digest.leaving ?? {}, digest.name);
       fleet.shares.applyReports(digest.name, digest.demand);
       if (digest.dateMs !== undefined) {
         running.activity?.time.recordPeer(digest.name, {
