Send streams that run once over connections without a refusal

Callers' streams that run once got 502 where a server writes a copy of an earlier refusal before the next answer on its connection: the copy names another call, so nothing is promised wrongly, but the call in flight may have run and is lost.

Change: a call that runs once takes no connection that has brought a refusal. Such connections go on to carry exports and calls that may be repeated, which a copy costs a further try at most. A refusal of a call that runs once so costs a new connection at the next one, if no other is idle.

--- a/packages/core/src/request/forwarding/attempt.ts
+++ b/packages/core/src/request/forwarding/attempt.ts
@@ -195,6 +195,7 @@
   const answer = await sendChecked(state, facts, {
     ...options,
     fresh,
+    unrefused: isRunOnce(state) && !facts.exportOnly,
     sentMs,
   });
   if (answer.head.status !== misdirectedStatus) {
--- a/packages/core/src/request/forwarding/types.ts
+++ b/packages/core/src/request/forwarding/types.ts
@@ -60,6 +60,8 @@
   readonly signal: AbortSignal;
   /** Whether a connection is opened for this call alone, so that what comes back there belongs to no earlier call. */
   readonly fresh?: boolean;
+  /** Whether the call goes over no connection that has brought a refusal, whose copy could come in the place of its answer. */
+  readonly unrefused?: boolean;
   /** Asked right before the call is written to an open connection; false ends the send without effect. */
   readonly mayWrite?: () => boolean;
   /** Called once the operating system has the call, or as much of it as it takes at once. */
--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -139,6 +139,13 @@
     Then 2 connections were opened
     And no call found a connection with a refusal of it
 
+  Scenario: A call that wants no refusal before its answer uses no connection that has brought one
+    When the call "a" is refused
+    And the call "b" that wants no refusal is answered "whole"
+    Then 2 connections were opened
+    When the call "c" that wants no refusal is answered "whole"
+    Then 2 connections were opened
+
   Scenario: A connection is closed after 32 refusals
     When 31 calls are refused
     Then 1 connections were opened
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -172,6 +172,7 @@
     readonly fresh?: boolean;
     readonly address?: string;
     readonly id?: string;
+    readonly unrefused?: boolean;
     /** Whether the answer is taken for a refusal. */
     readonly refused?: boolean;
     readonly mayWrite?: () => boolean;
@@ -186,6 +187,7 @@
         method: "POST",
         path: "/x",
         id: options.id,
+        unrefused: options.unrefused,
         // The server answers before it has read a long body.
         body: Buffer.alloc(step.startsWith("early") ? largeBytes : 0),
         maxIdleMs: options.maxIdleMs,
@@ -245,13 +247,18 @@
 );
 
 When(
-  /^the call "(.+)" is (?:answered "(.+)"|refused)$/,
+  /^the call "(\w+)"( that wants no refusal)? is (?:answered "(.+)"|refused)$/,
   async function (
     this: ChannelsWorld,
     id: string,
+    unrefused: string | null,
     step: string | null,
   ): Promise<void> {
-    await runCall(this, step ?? "whole", { id, refused: step === null });
+    await runCall(this, step ?? "whole", {
+      id,
+      unrefused: unrefused !== null,
+      refused: step === null,
+    });
   },
 );
 
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -46,6 +46,8 @@
   readonly maxIdleMs?: number;
   /** Whether a connection is opened for this request alone; it is kept afterwards only if no other is. */
   readonly fresh?: boolean;
+  /** Whether the connection must not have brought a refusal, whose copy could come in the place of the response. */
+  readonly unrefused?: boolean;
   /** Called right before the request is written to the open connection; false ends it unsent and closes the connection. */
   readonly mayWrite?: () => boolean;
   /** Called once the operating system has the request, or as much of it as it takes at once. */
@@ -164,7 +166,7 @@
   /** Takes the newest idle connection to an address that the request may use; undefined if there is none. */
   function claimIdle(
     address: string,
-    { id, maxIdleMs = Infinity }: ChannelRequest,
+    { id, unrefused, maxIdleMs = Infinity }: ChannelRequest,
   ): Channel | undefined {
     const pooled = idle.get(address) ?? [];
     const oldestMs = performance.now() - maxIdleMs;
@@ -173,6 +175,7 @@
       const channel = pooled[index];
       if (!channel || channel.idleSinceMs < oldestMs) break;
       if (id !== undefined && channel.refusedIds.has(id)) continue;
+      if (unrefused && channel.refusedIds.size > 0) continue;
       pooled.splice(index, 1);
       if (!channel.socket.destroyed) return channel;
       closeChannel(channel);
--- a/packages/node/src/entry/endpoint_sender.ts
+++ b/packages/node/src/entry/endpoint_sender.ts
@@ -40,17 +40,15 @@
     async send(
       call,
       facts,
-      { signal, fresh, mayWrite, onWritten },
+      { signal, ...options },
     ): Promise<EndpointAnswer> {
       await waitForPoll();
       const request = codec.encodeSend(call, facts);
       const answer = await channels.exchange(facts.endpoint.address, {
         ...request,
+        ...options,
         id: call.id,
         signal,
-        fresh,
-        mayWrite,
-        onWritten,
       });
       const head = codec.decodeHead(answer.status, answer.headers);
       if (head.notRun) answer.recordRefusal();
