Keep the word of each process of an endpoint by itself

Found by the review, before anyone saw it: an instance kept one notice for each name, so a late answer of a former process, or the digest of a peer with an older list, took back what the listed process had said, and calls went there again (ORDER, DRAIN). Two peers with different processes made it flip with every digest.

Cause: the notice was kept by the endpoint's name, and any other start replaced it. Change: by name and start.

Evidence: the two scenarios of the review's failed before and pass.

--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -117,6 +117,20 @@
     And the store shows "e4"
     Then the endpoints that take work are "e1, e2, e3"
 
+  # Guards against a word of a process that a peer with an older list takes back.
+  Scenario: What a peer tells of a former process leaves the word of the next one in force
+    When the store shows "e1 restarted"
+    And "e1 restarted" says that it leaves
+    Then the endpoints that take work are "e2, e3"
+    When a peer tells that "e1" leaves
+    Then the endpoints that take work are "e2, e3"
+
+  Scenario: A late answer of a former process leaves the word of the next one in force
+    When the store shows "e1 restarted"
+    And "e1 restarted" says that it leaves
+    And "e1" says that it leaves
+    Then the endpoints that take work are "e2, e3"
+
   Scenario: Another instance gets the list as the store has it
     When "e1" says that it leaves
     Then the list for another instance shows no endpoint that leaves
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -124,7 +124,7 @@
     if (!known || isRestart(known.endpoint, endpoint)) {
       log(fleetEvents.endpointListed, describe(endpoint, next));
     }
-    if (endpoint.leaving && !known?.endpoint.leaving) {
+    if (listed.leaving && !known?.listed.leaving) {
       log(fleetEvents.endpointLeaving, describe(endpoint, next));
     }
   }
--- a/packages/core/src/process/fleet/leave_notices.ts
+++ b/packages/core/src/process/fleet/leave_notices.ts
@@ -16,50 +16,45 @@
   readonly isOwn: (endpoint: ListedEndpoint) => boolean;
 }
 
-interface Notice {
-  readonly startedAtMs: number | undefined;
-  /** Absent where a peer told of it. */
-  readonly address?: string;
-}
-
-/** Endpoints that are remembered; the earliest are forgotten first. */
-const maxNotices = 1_024;
+/** Processes that are remembered, far more than a list has; the earliest are forgotten first. */
+const maxProcesses = 8_192;
 
-/** Creates notices without any; one holds until another process of its endpoint leaves. */
+/** Creates notices without any; each holds for one process, whatever others of its endpoint say. */
 export function createLeaveNotices(): LeaveNotices {
-  const notices = new Map<EndpointName, Notice>();
-
-  function find(endpoint: ListedEndpoint): Notice | undefined {
-    const notice = notices.get(endpoint.name);
-    const isSame = notice?.startedAtMs === endpoint.startedAtMs &&
-      (notice?.address ?? endpoint.address) === endpoint.address;
-    return isSame ? notice : undefined;
-  }
+  /** Whether the process told this instance, by its key. */
+  const notices = new Map<string, boolean>();
 
-  function setNotice(endpoint: EndpointName, notice: Notice): void {
-    notices.delete(endpoint);
-    notices.set(endpoint, notice);
+  function setNotice(key: string, isOwn: boolean): void {
+    notices.set(key, isOwn);
     const [earliest] = notices.keys();
-    if (notices.size > maxNotices && earliest !== undefined) {
+    if (notices.size > maxProcesses && earliest !== undefined) {
       notices.delete(earliest);
     }
   }
 
-  const isOwn = (endpoint: ListedEndpoint): boolean =>
-    find(endpoint)?.address !== undefined;
   return {
     add(endpoint): boolean {
-      if (isOwn(endpoint)) return false;
-      const { name, startedAtMs, address } = endpoint;
-      setNotice(name, { startedAtMs, address });
+      const key = buildKey(endpoint);
+      if (notices.get(key)) return false;
+      setNotice(key, true);
       return true;
     },
-    addReport(endpoint, startedAtMs): boolean {
-      if (notices.get(endpoint)?.startedAtMs === startedAtMs) return false;
-      setNotice(endpoint, { startedAtMs });
+    addReport(name, startedAtMs): boolean {
+      const key = buildKey({ name, startedAtMs, address: "" });
+      if (notices.has(key)) return false;
+      setNotice(key, false);
       return true;
     },
-    has: (endpoint) => find(endpoint) !== undefined,
-    isOwn,
+    has: (endpoint) => notices.has(buildKey(endpoint)),
+    isOwn: (endpoint) => notices.get(buildKey(endpoint)) === true,
   };
 }
+
+function buildKey(
+  { name, startedAtMs, address }: Pick<
+    ListedEndpoint,
+    "name" | "startedAtMs" | "address"
+  >,
+): string {
+  return JSON.stringify([name, startedAtMs ?? address]);
+}
