Let connections that have brought a refusal give way to new ones

Found by the review, before anyone saw it: since calls that run once pass over connections that have brought a refusal, and those stayed in the pool, up to 24 for each entry and server, for 8 to 60 s.

Change: a new connection for such a call takes the place of the one that has been idle longest.

Evidence: channels.feature, 12 connections stayed open before, one does now; promises.feature passes.

--- a/packages/node/src/entry/channels.feature
+++ b/packages/node/src/entry/channels.feature
@@ -146,6 +146,12 @@
     When the call "c" that wants no refusal is answered "whole"
     Then 2 connections were opened
 
+  # Guards against idle connections that no call takes, until the server accepts no more.
+  Scenario: Connections that have brought a refusal do not pile up
+    When 12 calls that want no refusal are refused
+    Then 12 connections were opened
+    And the server has seen 11 connections end
+
   Scenario: A connection is closed after 32 refusals
     When 31 calls are refused
     Then 1 connections were opened
--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -263,10 +263,18 @@
 );
 
 When(
-  "{int} calls are refused",
-  async function (this: ChannelsWorld, count: number): Promise<void> {
-    for (let each = 0; each < count; each++) {
-      await runCall(this, "whole", { id: `refused-${each}`, refused: true });
+  /^(\d+) calls( that want no refusal)? are refused$/,
+  async function (
+    this: ChannelsWorld,
+    count: string,
+    unrefused: string | null,
+  ): Promise<void> {
+    for (let each = 0; each < Number(count); each++) {
+      await runCall(this, "whole", {
+        id: `refused-${each}`,
+        refused: true,
+        unrefused: unrefused !== null,
+      });
     }
   },
 );
--- a/packages/node/src/entry/channels.ts
+++ b/packages/node/src/entry/channels.ts
@@ -180,6 +180,8 @@
       if (!channel.socket.destroyed) return channel;
       closeChannel(channel);
     }
+    // The new connection takes its place.
+    if (unrefused && pooled[0]) dropChannel(pooled[0]);
     return undefined;
   }
 
