Take no header of an endpoint for one of the link between instances

Found by the review: a server that writes trefoildoor-refused in its answer to a call that was handed over made the first instance send the call to another peer.

Cause: the instance in between passed on all headers of the answer, and its own stood behind them. Change: those of the link are dropped.

--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -11,7 +11,7 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { CallerAnswer, CallerLimits } from "@trefoildoor/core";
 import { answerRequestErrors } from "../connection/request_errors.ts";
-import { encodeLeaving } from "./hand_over_wire.ts";
+import { encodeLeaving, pickPassedHeaders } from "./hand_over_wire.ts";
 
 /** A caller's request with its complete body. */
 export interface CallerRequest {
@@ -228,7 +228,10 @@
     left: left.signal,
     isStarted: () => response.headersSent,
     start(status, headers, { length, untilClose = false, leaving } = {}): void {
-      const all = [...headers];
+      // A peer takes the link's headers for this instance's own word.
+      const all = options.leavingHeader
+        ? pickPassedHeaders(headers)
+        : [...headers];
       if (leaving?.startedAtMs !== undefined && options.leavingHeader) {
         all.push(options.leavingHeader, encodeLeaving(leaving));
       }
