--- a/packages/node/src/entry/channels.steps.ts
+++ b/packages/node/src/entry/channels.steps.ts
@@ -50,6 +50,7 @@
   world: ChannelsWorld,
   { socket, step }: { readonly socket: Socket; readonly step: string },
 ): void {
+  if (step.startsWith("early")) socket.pause();
   switch (step) {
     case "whole":
       return void socket.write(whole);
@@ -77,17 +78,13 @@
     case "reset at once without length":
       return void socket.write(unframed, () => socket.resetAndDestroy());
     case "early":
-      socket.pause();
       return void socket.write(whole.replace("200 OK", "413 Too Large"));
     case "early without length; reset at once":
-      socket.pause();
       return void socket.write(unframed, () => socket.resetAndDestroy());
     case "early without length; reset later":
-      socket.pause();
       socket.write(unframed);
       return void setTimeout(() => socket.resetAndDestroy(), settleMs);
     case "early without length; ended":
-      socket.pause();
       return void socket.end(unframed);
     case "endless":
       socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
