Let reads of the log stand-in's feature end before their connections fall silent

Cause, in the test: the HTTP client gives a connection its next call one turn of the event loop after its answer. Where all four answers come within one turn, as when the process got on late, none of the four connections is free at the first read, which opens a fifth one that is not silent; the second read then takes a silent one.

Change: the step that opens the connections waits for that turn, and asserts that there are exactly as many as reads. The check itself is unchanged.

--- a/packages/standins/src/log_service/log_standin.steps.ts
+++ b/packages/standins/src/log_service/log_standin.steps.ts
@@ -1,5 +1,6 @@
 /** Steps of `log_standin.feature`. */
 import { strict as assert } from "node:assert";
+import { setImmediate } from "node:timers/promises";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { openLogService, RemoteError, StreamName } from "@trefoildoor/core";
 import { type Relay, Scope, startRelay } from "../relay/index.ts";
@@ -66,6 +67,9 @@
       () => this.logClient.read(StreamName.Control, range),
     ),
   );
+  // A connection takes its next call one turn after its answer.
+  await setImmediate();
+  assert.equal(this.logRelay?.countConnections(), count);
 });
 
 When("the open connections to the log fall silent", function (
