Let an entry that takes effect late not bring back an endpoint that leaves

The protocol allows it: a call to the store without an answer may be executed seconds later. Whether the users' cases of ORDER are these is not known.

Cause: the number of an endpoint's entry was compared only for 10 s after the store had come back from an older copy; at other times the last record won.

Change: an entry of the same process with a lower number does not take back that the process leaves or was removed, whether it comes with a read, a whole list or a peer's. What says that a process leaves counts in any case, as does an entry without a number or a start, and one of another start, whose clock may have been set. An instance that starts later knows the late entry only, and uses it.

Evidence: four of the new examples fail before; endpoint_list.feature passes with its 24 scenarios, and store_copy.feature, fleet_view.feature and list_updates.feature pass.

--- a/packages/core/src/process/fleet/endpoint_list.feature
+++ b/packages/core/src/process/fleet/endpoint_list.feature
@@ -120,3 +120,27 @@
   Scenario: Another instance gets the list as the store has it
     When "e1" says that it leaves
     Then the list for another instance shows no endpoint that leaves
+
+  # Guards against calls to endpoints that leave or have left, after an earlier write of theirs that took effect late (ORDER).
+  Scenario Outline: An earlier entry of a process that takes effect late brings it back to no work
+    When the store shows "e1 5"
+    And the store shows "e1 leaving 7"
+    And <next>
+    Then the endpoints that take work are "<taking>"
+
+    Examples:
+      | next                                                | taking     |
+      | the store shows "e1 6"                              | e2, e3     |
+      | the store is read anew and shows "e1 6, e2, e3"     | e2, e3     |
+      | another instance knows "e1 6, e2, e3" up to offset 90 | e2, e3     |
+      | the store shows "e1 8"                              | e1, e2, e3 |
+      | the store shows "e1 restarted 1"                    | e1, e2, e3 |
+
+  Scenario: Neither does it bring back a process that was removed, nor undo what it says of leaving
+    When the store shows "e1 5, e2 5, e3 5"
+    And the store removes "e1"
+    And the store shows "e1 4"
+    And the store shows "e2 leaving 4"
+    Then the endpoints that take work are "e3"
+    When the store shows "e1 6"
+    Then the endpoints that take work are "e1, e3"
--- a/packages/core/src/process/fleet/endpoint_list.steps.ts
+++ b/packages/core/src/process/fleet/endpoint_list.steps.ts
@@ -22,15 +22,17 @@
 
 function parseEndpoints(text: string): readonly ListedEndpoint[] {
   return text.split(", ").map((part) => {
-    const [name = "", state] = part.split(" ");
+    const [name = "", ...words] = part.split(" ");
+    const sequence = words.find((word) => /^\d+$/.test(word));
     return {
       name,
       service,
       address: "10.0.0.1:80",
       failureDomain: "sapporo",
       slots: 6,
-      leaving: state === "leaving",
-      startedAtMs: state === "restarted" ? 2 : 1,
+      leaving: words.includes("leaving"),
+      startedAtMs: words.includes("restarted") ? 2 : 1,
+      sequence: sequence === undefined ? undefined : Number(sequence),
     };
   });
 }
--- a/packages/core/src/process/fleet/endpoint_list.ts
+++ b/packages/core/src/process/fleet/endpoint_list.ts
@@ -57,7 +57,7 @@
 export interface EndpointListOptions {
   /** Time since the store became readable again after an outage, in ms; Infinity if there was none. */
   readonly getSinceRecoveryMs: () => number;
-  /** Whether the store may still list entries of an older copy; an entry that its process has replaced since is then ignored. */
+  /** Whether the store may still list entries of an older copy; any entry that its process has replaced since is then ignored, otherwise one that would undo its leaving. */
   readonly isRestoring?: () => boolean;
   /** Called with each endpoint that is removed or whose process was restarted. */
   readonly onReplaced?: (endpoint: ListedEndpoint) => void;
@@ -93,18 +93,21 @@
   /** Newest entries of processes that were removed, oldest first. */
   const removed = new Map<EndpointName, ListedEndpoint>();
 
-  /** Whether an entry is older than one of the same process, or as old as the one that was removed. */
+  /** Whether an entry is of an earlier state of its process than the known one and must not replace it. */
   function isOutdated(endpoint: ListedEndpoint): boolean {
-    if (!options.isRestoring?.() || endpoint.sequence === undefined) {
+    const { name, sequence, startedAtMs } = endpoint;
+    const listed = entries.get(name)?.listed;
+    const known = listed ?? removed.get(name);
+    if (sequence === undefined || !known || isRestart(known, endpoint)) {
       return false;
     }
-    const listed = entries.get(endpoint.name)?.endpoint;
-    const known = listed ?? removed.get(endpoint.name);
-    if (!known || isRestart(known, endpoint)) return false;
-    const sequence = known.sequence ?? -Infinity;
-    return listed
-      ? endpoint.sequence < sequence
-      : endpoint.sequence <= sequence;
+    const knownSequence = known.sequence ?? -Infinity;
+    if (options.isRestoring?.()) {
+      return listed ? sequence < knownSequence : sequence <= knownSequence;
+    }
+    // A write that takes effect late must not undo a later one.
+    const undoes = !endpoint.leaving && (!listed || listed.leaving);
+    return undoes && startedAtMs !== undefined && sequence < knownSequence;
   }
 
   function setEndpoint(listed: ListedEndpoint): void {
