Read again what a list had read ahead that a peer's news has overtaken

Found by reading; no run of users is known to show it. An instance that reads the list of endpoints in several pages records which keys have a newer record than the first page's end, and leaves those out of the reads that follow. A list that a peer's newer state has overtaken in the meantime is dropped, as it should be, but what it had read ahead was still left out afterwards. A change in a later page, as that an endpoint leaves, was never applied; the endpoint stayed in use until its next write.

Cause: the records read ahead were noted before it was known whether the list is used.

Change: they are noted only for a list that is not overtaken.

--- a/packages/core/src/process/fleet/follow_topic.feature
+++ b/packages/core/src/process/fleet/follow_topic.feature
@@ -112,6 +112,20 @@
     And 250 ms pass for the topic
     Then the records handed on are "a, b, a, b"
 
+  # Guards against changes that are lost with a list that another instance's news has overtaken.
+  Scenario: What a list that was overtaken has read ahead is handed on again
+    Given a topic with the records "a" that is followed every 100 ms
+    When 50 ms pass for the topic
+    And the records "b" are appended
+    And the records of the topic expire
+    And the records "a, b" are appended
+    And the newest records are listed with the end 2
+    And a list of the newest records takes 200 ms
+    And 150 ms pass for the topic
+    And another instance has read up to offset 3
+    And 400 ms pass for the topic
+    Then the records handed on are "a, a, b, a, b, b"
+
   # Guards against a read that waits for a held one, whose records have expired meanwhile.
   Scenario: A state that is asked for is read anew beside a held read once records have expired
     Given a topic with the records "a" whose reads are held for 10000 ms
--- a/packages/core/src/process/fleet/follow_topic.steps.ts
+++ b/packages/core/src/process/fleet/follow_topic.steps.ts
@@ -20,6 +20,8 @@
   earliest: number;
   /** End that a list of the newest records states; that of the topic if undefined. */
   listedEnd?: number;
+  /** Time that a list of the newest records takes, in ms. */
+  listMs: number;
   failingUntilMs: number;
   silentUntilMs: number;
   handedOn: string[];
@@ -78,6 +80,7 @@
     async fetchNewest(signal): Promise<TopicPage<string>> {
       await waitForStore(world, signal);
       const page = buildPage(0);
+      if (world.listMs > 0) await waitFor(world.listMs, signal);
       return { ...page, next: world.listedEnd ?? page.next };
     },
     async read(from, { waitMs, signal }): Promise<TopicPage<string>> {
@@ -106,6 +109,7 @@
   world.records = [];
   world.earliest = 0;
   world.listedEnd = undefined;
+  world.listMs = 0;
   world.failingUntilMs = -Infinity;
   world.silentUntilMs = -Infinity;
   world.handedOn = [];
@@ -149,6 +153,13 @@
   this.listedEnd = end;
 });
 
+Given("a list of the newest records takes {int} ms", function (
+  this: TopicWorld,
+  ms: number,
+): void {
+  this.listMs = ms;
+});
+
 When("the records {string} are appended", function (
   this: TopicWorld,
   names: string,
--- a/packages/core/src/process/fleet/follow_topic.ts
+++ b/packages/core/src/process/fleet/follow_topic.ts
@@ -138,7 +138,8 @@
     const sent = takeInstant();
     const fetchedNewest = needsNewest;
     const page = await fetchPage();
-    if (fetchedNewest) recordReadAhead(page);
+    // A list that a peer's news has overtaken is not used.
+    if (fetchedNewest && page.next >= next) recordReadAhead(page);
     const held = !fetchedNewest && page.records.length === 0;
     applyPage(page, {
       whole: fetchedNewest,
