--- a/packages/standins/src/relay/link.ts
+++ b/packages/standins/src/relay/link.ts
@@ -62,6 +62,7 @@
   let delivered = 0;
   let lastDueMs = 0;
   let swallowed = false;
+  let wasReset = false;
   let timer: NodeJS.Timeout | undefined;
 
   const computeDueMs = (): number => {
@@ -77,7 +78,8 @@
   const deliver = ({ bytes }: QueuedChunk): void => {
     if (to.destroyed) return;
     if (!bytes) {
-      to.end();
+      if (wasReset) to.write("", () => to.resetAndDestroy());
+      else to.end();
       return;
     }
     queuedBytes -= bytes.length;
@@ -109,7 +111,11 @@
     if (!timer) flush();
   };
   from.on("data", (bytes: Buffer) => receive(bytes));
-  from.once("end", () => receive(undefined));
+  from.once("end", () => {
+    // A reset together with bytes is reported as an end; only its connection has no other side.
+    wasReset = from.remoteAddress === undefined;
+    receive(undefined);
+  });
   to.on("drain", flush);
   return {
     flush,
--- a/packages/standins/src/relay/relay.feature
+++ b/packages/standins/src/relay/relay.feature
@@ -42,3 +42,7 @@
     When connection "a" opens and its answers become a black hole
     And connection "a" sends "heard" while connection "b" sends "passed"
     Then the relayed connections match the snapshot
+
+  Scenario: A reset right after bytes is passed on as one, not as their end
+    When 20 connections are answered "part" and reset at once
+    Then each of them has "part" or less, and was reset
--- a/packages/standins/src/relay/relay.steps.ts
+++ b/packages/standins/src/relay/relay.steps.ts
@@ -1,6 +1,7 @@
 /** Steps of `relay.feature`. */
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import type { Server } from "node:net";
+import { strict as assert } from "node:assert";
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { waitUntil } from "@trefoildoor/testing";
 import {
@@ -25,6 +26,7 @@
   echoSockets: Set<Socket>;
   relay: Relay;
   peers: Map<string, Peer>;
+  resets: { readonly received: string; readonly wasReset: boolean }[];
   matchSnapshot: (received: unknown) => void;
 }
 
@@ -46,6 +48,57 @@
   return peer;
 }
 
+When(
+  "{int} connections are answered {string} and reset at once",
+  async function (
+    this: RelayWorld,
+    count: number,
+    part: string,
+  ): Promise<void> {
+    const resetter = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => {
+        socket.write(part, () => socket.resetAndDestroy());
+      });
+    });
+    await new Promise<void>((resolve) =>
+      resetter.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = resetter.address() as AddressInfo;
+    this.relay.setTarget(`127.0.0.1:${port}`);
+    this.resets = await Promise.all(
+      Array.from({ length: count }, () => readReset(this.relay.address)),
+    );
+    resetter.close();
+  },
+);
+
+/** Reads until the connection ends; a reset that comes with bytes ends it without an error, and without another side. */
+function readReset(
+  address: string,
+): Promise<RelayWorld["resets"][number]> {
+  const [host, port] = address.split(":");
+  const socket = connect({ host, port: Number(port) });
+  let received = "";
+  let wasReset = false;
+  socket.on("data", (bytes) => received += String(bytes));
+  socket.on("end", () => wasReset ||= socket.remoteAddress === undefined);
+  socket.on("error", () => wasReset = true);
+  socket.write("hello");
+  return new Promise((resolve) =>
+    socket.once("close", () => resolve({ received, wasReset }))
+  );
+}
+
+Then(
+  "each of them has {string} or less, and was reset",
+  function (this: RelayWorld, part: string): void {
+    for (const { received, wasReset } of this.resets) {
+      assert.ok(wasReset && part.startsWith(received), received);
+    }
+  },
+);
+
 Given(
   "an echo server behind a relay with seed {int}",
   async function (this: RelayWorld, seed: number): Promise<void> {
--- a/packages/standins/src/relay/relay.ts
+++ b/packages/standins/src/relay/relay.ts
@@ -191,7 +191,10 @@
   const isBlackholed = (): boolean => faults[Direction.FromTarget].blackhole;
   sink.once("close", (hadError) => {
     // A forgotten connection tells the other side nothing.
-    if (hadError && !silent && !isBlackholed()) source.destroy();
+    if (!hadError || silent || isBlackholed()) return;
+    // After a regular end, a part without a length would look whole.
+    if (sink.bytesRead > 0) source.resetAndDestroy();
+    else source.destroy();
   });
   source.once("close", () => links.forEach((link) => link.close()));
   return {
