Ask peers to try the endpoints that an instance cannot reach

What callers saw: behind an instance that had lost its links to all endpoints, calls went on to be answered with 503 or 504, although its peers reached the endpoints, for as long as the peers' own calls went to one endpoint or to none.

Cause: a cut needs two endpoints that the instance cannot connect to and that a peer has reached since. Peers told only of answers to their own calls.

Change: a digest names up to 8 endpoints that its sender cannot connect to. A peer that can connect to endpoints tries those, within 200 ms at random and unless another one tells of them first, at most once in 500 ms, and tells. What counts as a cut stays the same.

--- a/packages/core/src/process/fleet/peer_registry.ts
+++ b/packages/core/src/process/fleet/peer_registry.ts
@@ -70,6 +70,8 @@
   readonly origins?: OriginReports;
   /** Endpoints that answered the instance lately, by address; absent in digests of former versions. */
   readonly contacts?: ContactReports;
+  /** Addresses of endpoints that the instance cannot connect to; peers try them. Absent if there are none. */
+  readonly unreached?: readonly string[];
   /** Key that a call handed over to the instance must bear; absent if it takes none. */
   readonly handOverKey?: string;
   /** Whether the instance is cut off from the endpoints; absent if it is not. */
--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -1,8 +1,9 @@
 /**
  * Tells whether this instance is cut off from the endpoints while its peers are
  * not. New connections to several endpoints fail, none succeeds, and peers
- * report answers of the same endpoints since. A single silent endpoint, a
- * service that is down for all and a frozen instance do not look like that.
+ * report answers of the same endpoints since, for which they try to connect to
+ * them if asked. A single silent endpoint, a service that is down for all and a
+ * frozen instance do not look like that.
  */
 import {
   type LogEvent,
@@ -33,6 +34,10 @@
   readonly collectReports: () => ContactReports;
   /** Applies the contacts of a peer's digest, which was sent at `sentMs` of `performance.now()`. */
   readonly applyReports: (reports: ContactReports, sentMs: number) => void;
+  /** Endpoints that peers are asked to connect to, for the digest; undefined if there are none. */
+  readonly listQuestions: () => readonly string[] | undefined;
+  /** Connects to endpoints that a peer cannot reach, unless it hears of them otherwise. */
+  readonly answerQuestions: (addresses: readonly string[]) => Promise<void>;
 }
 
 /** Dependencies of the links. */
@@ -43,6 +48,8 @@
   readonly probe: (address: string, timeoutMs: number) => Promise<boolean>;
   /** Called when the instance is cut off, and when it no longer is. */
   readonly onChange?: (cut: boolean) => void;
+  /** Called when there is something to ask peers, or to answer them. */
+  readonly onNews?: () => void;
   /** Clock of the time in which this instance could receive contacts; the monotonic clock by default. */
   readonly clock?: RunningClock;
   readonly random?: () => number;
@@ -66,6 +73,12 @@
 const connectedMs = 1_000;
 /** Pause between two rounds of probes of a cut instance, in ms. */
 const cutIntervalMs = 500;
+/** Endpoints that peers are asked for at a time. */
+const maxQuestions = 8;
+/** Within this time one of the peers answers a question, at random, so that the others need not, in ms. */
+const answerSpreadMs = 200;
+/** Pause between two answers about the same endpoint, in ms. */
+const answerIntervalMs = 500;
 /** Endpoints out of reach that peers reach, for a cut. */
 const minRefuted = 2;
 /** Time after which failures are the endpoints' if no peer reports an answer of them, in ms: more than a heartbeat of instances. */
@@ -92,6 +105,8 @@
   let cutMs: number | undefined;
   /** Endpoints that could not be connected to, with the start of the first failed probe, since a connection succeeded. */
   const unreached = new Map<string, number>();
+  /** When the endpoints that peers asked for were last tried. */
+  const answered = new Map<string, number>();
   let startedMs = performance.now();
 
   function recordContact(address: string, connectedMs: number): void {
@@ -125,6 +140,7 @@
 
   async function runProbes(): Promise<void> {
     const roundMs = performance.now();
+    const { size } = unreached;
     const reached = await Promise.all(
       chooseAddresses().map(async (address) => {
         const success = await probe(address, probeTimeoutMs);
@@ -133,12 +149,31 @@
         return success;
       }),
     );
-    if (signal.aborted || !reached.includes(true)) return;
+    if (signal.aborted) return;
+    if (!reached.includes(true)) {
+      if (unreached.size > size) options.onNews?.();
+      return;
+    }
     unreached.clear();
     failed = false;
     setCut(false);
   }
 
+  /** Connects to an endpoint for a peer, unless it is told of it meanwhile. */
+  async function answerQuestion(address: string): Promise<void> {
+    const askedMs = performance.now();
+    const lastMs = answered.get(address) ?? -Infinity;
+    if (!known.has(address) || askedMs - lastMs < answerIntervalMs) return;
+    answered.set(address, askedMs);
+    await waitFor(random() * answerSpreadMs, signal);
+    if (signal.aborted || peers.getMs(address) > askedMs) return;
+    if (own.getMs(address) <= askedMs) {
+      if (!await probe(address, probeTimeoutMs)) return;
+      recordConnected(address);
+    }
+    options.onNews?.();
+  }
+
   function listRefuted(): readonly string[] {
     return [...unreached].flatMap(([address, sinceMs]) =>
       peers.getMs(address) > sinceMs ? [address] : []
@@ -193,6 +228,9 @@
       await waitFor(pauseMs, signal);
       if (signal.aborted) return;
       known = new Set(listAddresses());
+      for (const address of answered.keys()) {
+        if (!known.has(address)) answered.delete(address);
+      }
       if (performance.now() - beforeMs - pauseMs > frozenMs) {
         unansweredMs = Infinity;
         unreached.clear();
@@ -243,6 +281,17 @@
         });
       }
     },
+    listQuestions: () =>
+      cutMs === undefined && unreached.size > 0
+        ? [...unreached.keys()].filter((address) => known.has(address))
+          .slice(-maxQuestions)
+        : undefined,
+    async answerQuestions(addresses): Promise<void> {
+      if (cutMs !== undefined || unreached.size > 0) return;
+      await Promise.all(
+        addresses.slice(0, maxQuestions).map(answerQuestion),
+      );
+    },
   };
 }
 
--- a/packages/core/src/process/links/links.feature
+++ b/packages/core/src/process/links/links.feature
@@ -36,6 +36,32 @@
       | e1                 | e1, e2, e3, e4, e5 | hang        | come        |
       |                    | e1, e2, e3, e4, e5 | hang        | do not come |
 
+  # Guards against a cut that is not seen as the peers' own calls go to few endpoints or none.
+  Scenario Outline: A cut is seen where peers reach endpoints that they are asked for
+    Given peers have no calls, and reach "<asked>" if they are asked
+    When connections to "e1, e2, e3, e4, e5" <fail>, and requests come for 2500 ms
+    Then the instance is <cut>
+
+    Examples:
+      | asked              | fail        | cut         |
+      | e1, e2, e3, e4, e5 | hang        | cut off     |
+      | e1, e2, e3, e4, e5 | are refused | cut off     |
+      | e1, e3             | hang        | cut off     |
+      | e1                 | hang        | not cut off |
+      |                    | hang        | not cut off |
+
+  Scenario Outline: An endpoint that a peer asks for is tried once, unless others tell of it
+    When a peer asks for "<asked>", and another one tells of "<told>" 50 ms later
+    Then the instance has tried "<tried>", and its digest tells of "<tried>"
+    When a peer asks for "<asked>"
+    Then the instance has tried "", and its digest tells of "<tried>"
+
+    Examples:
+      | asked  | told | tried  |
+      | e1, e2 |      | e1, e2 |
+      | e1, e2 | e2   | e1     |
+      | e1, e9 |      | e1     |
+
   Scenario: An instance that was frozen is not cut off
     Given peers reach "e1, e2, e3, e4, e5"
     When the process does not run for 5000 ms and its connections are as before
--- a/packages/core/src/process/links/links.steps.ts
+++ b/packages/core/src/process/links/links.steps.ts
@@ -11,6 +11,11 @@
   links: EndpointLinks;
   endpoints: readonly string[];
   peersReach: readonly string[];
+  /** What peers reach if they are asked, and when they last have. */
+  peersTry: readonly string[];
+  triedMs: Map<string, number>;
+  /** Endpoints to which this instance has tried to connect. */
+  probed: string[];
   /** When the connections of the peers were opened. */
   connectedMs: number;
   /** How connections to endpoints fail. */
@@ -24,6 +29,8 @@
 const contactAgeMs = 30;
 /** Time within which changes of the endpoints are known, in ms. */
 const checkMs = 150;
+/** Time in which questions of peers are answered, in ms. */
+const answerMs = 250;
 
 After(function (this: LinksWorld): void {
   this.stop?.abort();
@@ -41,6 +48,9 @@
   this.linksClock = pauseClock();
   this.endpoints = splitNames(names);
   this.peersReach = [];
+  this.peersTry = [];
+  this.triedMs = new Map();
+  this.probed = [];
   this.connectedMs = performance.now();
   this.failing = new Map();
   this.stop = new AbortController();
@@ -55,13 +65,14 @@
 });
 
 async function openConnection(
-  { failing }: LinksWorld,
+  { failing, probed }: LinksWorld,
   { address, timeoutMs }: {
     readonly address: string;
     readonly timeoutMs: number;
   },
 ): Promise<boolean> {
   const how = failing.get(address);
+  probed.push(address);
   if (how === "hang") {
     await new Promise((resolve) => setTimeout(resolve, timeoutMs));
   }
@@ -75,6 +86,24 @@
   this.peersReach = splitNames(names);
 });
 
+Given("peers have no calls, and reach {string} if they are asked", function (
+  this: LinksWorld,
+  names: string,
+): void {
+  this.peersTry = splitNames(names);
+});
+
+/** Lets the peers try what the instance asks for, and returns their contacts of it. */
+function collectAnswers(
+  { links, peersTry, triedMs }: LinksWorld,
+): readonly (readonly [string, readonly [number, number]])[] {
+  const nowMs = performance.now();
+  for (const name of links.listQuestions() ?? []) {
+    if (peersTry.includes(name)) triedMs.set(name, nowMs);
+  }
+  return [...triedMs].map(([name, ms]) => [name, [nowMs - ms, nowMs - ms]]);
+}
+
 /** Lets time pass with digests of peers and, if `requests` says so, calls to the endpoints in turn. */
 async function passTime(
   world: LinksWorld,
@@ -88,7 +117,10 @@
         name,
         [contactAgeMs, Math.max(connectionAgeMs, 0)],
       ]);
-      world.links.applyReports(Object.fromEntries(reports), performance.now());
+      world.links.applyReports(
+        Object.fromEntries([...reports, ...collectAnswers(world)]),
+        performance.now(),
+      );
     }
     if (passedMs % requestEveryMs === 0) {
       sendRequest(world, { passedMs, requests });
@@ -193,6 +225,33 @@
   },
 );
 
+When(
+  /^a peer asks for "([^"]*)"(?:, and another one tells of "([^"]*)" (\d+) ms later)?$/,
+  async function (
+    this: LinksWorld,
+    names: string,
+    told: string | null,
+    ms: string | null,
+  ): Promise<void> {
+    await this.linksClock?.tickAsync(checkMs);
+    this.probed = [];
+    void this.links.answerQuestions(splitNames(names));
+    await this.linksClock?.tickAsync(Number(ms ?? 0));
+    const reports = splitNames(told ?? "").map((name) => [name, [0, 0]]);
+    this.links.applyReports(Object.fromEntries(reports), performance.now());
+    await this.linksClock?.tickAsync(answerMs);
+  },
+);
+
+Then(
+  "the instance has tried {string}, and its digest tells of {string}",
+  function (this: LinksWorld, tried: string, told: string): void {
+    assert.deepEqual(this.probed.toSorted(), splitNames(tried));
+    const reports = this.links.collectReports();
+    assert.deepEqual(Object.keys(reports).toSorted(), splitNames(told));
+  },
+);
+
 When(
   /^(\d+) (endpoints|other processes) answer$/,
   async function (
--- a/packages/node/src/entry/open_link.ts
+++ b/packages/node/src/entry/open_link.ts
@@ -40,6 +40,7 @@
     limits: fleet.limits.collectReports(),
     demand: fleet.shares.collectReports(),
     contacts: links.collectReports(),
+    unreached: links.listQuestions(),
     cut: links.isCut() || undefined,
     handOverKey,
     dateMs: running.activity && Date.now(),
@@ -81,6 +82,7 @@
       }
       if (digest.cut) return;
       links.applyReports(digest.contacts ?? {}, sentMs);
+      void links.answerQuestions(digest.unreached ?? []);
     },
     onPlacements: fleet.backlogs.applyPlacements,
     onFailure: (error) =>
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -181,6 +181,7 @@
       }
       if (!cut) fleet.endpointTracker.clearFailures();
     },
+    onNews: () => state.peerLink?.scheduleDigest(),
     clock,
     logEvent,
     signal: shutdown.signal,
