Tell an instance with old crash evidence which calls have completed since

Cause: evidence that is read from the store may be from before calls completed. The state that peers serve named completed calls for current suspects only, and a part that was cleared is none. News of completed calls is told three times, when it clears a part, and not to who comes later. The instance's own verdict keeps it from a completed call.

Change: the state names completed calls for all parts of the known crashes. A peer that is told of a crash older than 5 s, which only evidence of verdicts and of former runs is, answers with the calls that completed since.

Evidence: two rows of crashes.feature; each fails without one half of the change, both without the change, and both pass with it.

--- a/packages/core/src/process/crashes/crash_evidence.ts
+++ b/packages/core/src/process/crashes/crash_evidence.ts
@@ -32,8 +32,10 @@
   readonly listVerdicts: () => readonly TraitVerdict[];
   /** Whether any crash counts against any trait. */
   readonly hasSuspects: () => boolean;
-  /** Traits that were in flight at one counted crash at least. */
-  readonly listSuspects: () => readonly Trait[];
+  /** Of the traits of a known crash, those of which calls have completed since. */
+  readonly listCleared: (crash: CrashReport) => readonly Trait[];
+  /** Traits that were in flight at the known crashes, whether or not they count. */
+  readonly listTraits: () => ReadonlySet<Trait>;
   /** The newest crashes, with the traits that `isIncluded` accepts. */
   readonly listCrashes: (
     isIncluded: (trait: Trait) => boolean,
@@ -200,10 +202,14 @@
       update();
       return counted.size > 0;
     },
-    listSuspects(): readonly Trait[] {
-      update();
-      return [...counted.keys()];
+    listCleared(report): readonly Trait[] {
+      const crashMs = crashes.get(getProcessId(report))?.atMs ?? Infinity;
+      return report.traits.filter((trait) =>
+        (successes.get(trait) ?? -Infinity) >= crashMs
+      );
     },
+    listTraits: () =>
+      new Set([...crashes.values()].flatMap(({ traits }) => [...traits])),
     listCrashes(
       isIncluded,
       { most = maxCrashes } = {},
--- a/packages/core/src/process/crashes/crash_news.ts
+++ b/packages/core/src/process/crashes/crash_news.ts
@@ -26,7 +26,7 @@
 /** Pause between two digests that report news, in ms: beyond the delays of digests that get lost together. */
 const repeatIntervalMs = 300;
 /** Interval at which all evidence of verdicts is reported, in ms, for instances that missed the news. */
-const verdictReportIntervalMs = 5_000;
+export const verdictReportIntervalMs = 5_000;
 /** Crashes of each verdict in these reports; more would not change it. */
 const maxCrashesPerVerdict = 6;
 const maxCrashesPerDigest = 8;
--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -9,8 +9,9 @@
 import { setBounded } from "./bounded_map.ts";
 import { buildRequestTrait, listPartTraits } from "./call_traits.ts";
 import { createCrashEvidence } from "./crash_evidence.ts";
-import { createCrashNews } from "./crash_news.ts";
+import { createCrashNews, verdictReportIntervalMs } from "./crash_news.ts";
 import {
+  type CrashReport,
   type CrashReports,
   getProcessId,
   type ProcessId,
@@ -225,6 +226,11 @@
     if (calls.length > 0 || isNews) addCrash(endpoint, { calls, sign });
   }
 
+  /** Tells a peer again that calls have completed since a crash: its evidence may be that of a former run. */
+  function addSuccessNews(crash: CrashReport): void {
+    for (const trait of evidence.listCleared(crash)) news.addSuccess(trait);
+  }
+
   return {
     recordUnsettled(call, endpoint, { why }): void {
       const id = getId(endpoint);
@@ -284,7 +290,7 @@
       crashes: evidence.listCrashes((trait) =>
         evidence.countCrashes(trait) > 0
       ),
-      successes: evidence.listSuccesses(evidence.listSuspects()),
+      successes: evidence.listSuccesses(evidence.listTraits()),
     }),
     applyReports({ crashes, successes }, delayMs): void {
       for (const { trait, ageMs } of successes) {
@@ -295,6 +301,7 @@
         const id = getProcessId(crash);
         if (isAlive(id, performance.now() - ageMs)) continue;
         evidence.addCrash({ ...crash, ageMs });
+        if (ageMs >= verdictReportIntervalMs) addSuccessNews(crash);
         const process = watched.get(id);
         if (process) recordEnd(process.endpoint, EndSign.Peer);
       }
--- a/packages/core/src/process/crashes/crash_world.test.ts
+++ b/packages/core/src/process/crashes/crash_world.test.ts
@@ -10,7 +10,7 @@
   isTrialOwner,
   Unsettled,
 } from "./index.ts";
-import type { CrashReports } from "./crash_types.ts";
+import type { CrashReports, StoredCrashes } from "./crash_types.ts";
 
 /** One instance of a scenario. */
 export interface WatchedInstance {
@@ -28,6 +28,8 @@
   instances: WatchedInstance[];
   calls: number;
   endpoints: number;
+  /** What an instance had stored at an earlier time. */
+  stored?: StoredCrashes;
 }
 
 const digestIntervalMs = 350;
--- a/packages/core/src/process/crashes/crashes.feature
+++ b/packages/core/src/process/crashes/crashes.feature
@@ -97,6 +97,22 @@
     Then calls with "root bad" are refused at "a, b, c"
     And calls with "root fine" may run at "a, b, c"
 
+  # Guards against refused calls with a sound part, as a restart brings old evidence back.
+  Scenario Outline: An instance that starts again with old evidence hears of the calls that completed since
+    When 3 endpoints crash under "sound" at "a, b" in turn, beside nothing
+    Then calls with "sound" are refused at "a, b, c"
+    When "a" stores its evidence
+    Given calls with "sound" have completed at "b"
+    When 20 s pass
+    And "a" starts again with what it stored, and <state>
+    And <passed> s pass
+    Then calls with "sound" may run at "a, b, c"
+
+    Examples:
+      | state                 | passed |
+      | with the state of "b" | 0      |
+      | no state              | 7      |
+
   Scenario: An instance that missed the news learns of verdicts from any later digest
     When "c" is cut off from the others
     And 3 endpoints crash under "root bad" at "a, b" in turn, each beside "root fine" at all of them
--- a/packages/core/src/process/crashes/crashes.steps.ts
+++ b/packages/core/src/process/crashes/crashes.steps.ts
@@ -18,6 +18,7 @@
 import { crashEvents, EndSign, Unsettled } from "./index.ts";
 
 const msPerSecond = 1_000;
+const noReports = { crashes: [], successes: [] };
 
 After(function (this: CrashStepsWorld): void {
   this.crashClock?.uninstall();
@@ -260,6 +261,35 @@
   }
 });
 
+When("{string} stores its evidence", function (
+  this: CrashStepsWorld,
+  name: string,
+): void {
+  const [instance] = pickInstances(this, name);
+  this.stored = instance?.watch.getStored();
+});
+
+When(
+  /^"([^"]+)" starts again with what it stored, and (?:no state|with the state of "([^"]+)")$/,
+  function (
+    this: CrashStepsWorld,
+    name: string,
+    peer: string | null,
+  ): void {
+    const instance = createInstance(name);
+    const { stored } = this;
+    assert.ok(stored);
+    instance.watch.applyStored(stored, { from: name, own: true });
+    if (peer !== null) {
+      const [from] = pickInstances(this, peer);
+      instance.watch.applyReports(from?.watch.getSnapshot() ?? noReports, 0);
+    }
+    this.instances = this.instances.map((each) =>
+      each.name === name ? instance : each
+    );
+  },
+);
+
 When(
   "{int} endpoints crash under {int} calls each with invented parts at {string}",
   async function (
