Answer verdicts only with the calls that completed since

Cause: crashes of more than 5 s before were taken for evidence of former runs, but a crash that is found late, or held back by an instance in doubt, is as old and has much ordinary traffic as its traits.

Change: reports of verdicts say that their sender refuses these parts, and only those are answered.

--- a/packages/core/src/process/crashes/crash_evidence.ts
+++ b/packages/core/src/process/crashes/crash_evidence.ts
@@ -35,7 +35,7 @@
   /** Of the traits of a known crash, those of which calls have completed since. */
   readonly listCleared: (crash: CrashReport) => readonly Trait[];
   /** Traits that were in flight at the known crashes, whether or not they count. */
-  readonly listTraits: () => ReadonlySet<Trait>;
+  readonly listCrashTraits: () => ReadonlySet<Trait>;
   /** The newest crashes, with the traits that `isIncluded` accepts. */
   readonly listCrashes: (
     isIncluded: (trait: Trait) => boolean,
@@ -208,7 +208,7 @@
         (successes.get(trait) ?? -Infinity) >= crashMs
       );
     },
-    listTraits: () =>
+    listCrashTraits: () =>
       new Set([...crashes.values()].flatMap(({ traits }) => [...traits])),
     listCrashes(
       isIncluded,
--- a/packages/core/src/process/crashes/crash_news.ts
+++ b/packages/core/src/process/crashes/crash_news.ts
@@ -13,7 +13,7 @@
 export interface CrashNews {
   /** Adds a crash that this instance found, with the traits of its own calls. */
   readonly addOwn: (crash: CrashReport) => void;
-  /** Adds a success that cleared a trait. */
+  /** Adds a success that cleared a trait, here or at a peer that has not heard of it. */
   readonly addSuccess: (trait: Trait) => void;
   /** Whether calls of this instance with the trait were in flight at a crash. */
   readonly hasOwn: (trait: Trait) => boolean;
@@ -26,7 +26,7 @@
 /** Pause between two digests that report news, in ms: beyond the delays of digests that get lost together. */
 const repeatIntervalMs = 300;
 /** Interval at which all evidence of verdicts is reported, in ms, for instances that missed the news. */
-export const verdictReportIntervalMs = 5_000;
+const verdictReportIntervalMs = 5_000;
 /** Crashes of each verdict in these reports; more would not change it. */
 const maxCrashesPerVerdict = 6;
 const maxCrashesPerDigest = 8;
@@ -92,7 +92,7 @@
     const refused = new Set(verdicts.map(({ trait }) => trait));
     return evidence.listCrashes((trait) => refused.has(trait), {
       most: maxCrashesPerVerdict * verdicts.length,
-    }).slice(0, maxOwnCrashes);
+    }).slice(0, maxOwnCrashes).map((crash) => ({ ...crash, refused: true }));
   }
 
   return {
--- a/packages/core/src/process/crashes/crash_types.ts
+++ b/packages/core/src/process/crashes/crash_types.ts
@@ -16,6 +16,8 @@
   readonly ageMs: number;
   /** Traits of calls that were in flight at the process, as far as the sender knows them. */
   readonly traits: readonly Trait[];
+  /** Whether the sender refuses calls with these traits; absent if it does not. */
+  readonly refused?: boolean;
 }
 
 /** A call that completed, which shows that its trait does not crash endpoints. */
--- a/packages/core/src/process/crashes/crash_watch.ts
+++ b/packages/core/src/process/crashes/crash_watch.ts
@@ -9,7 +9,7 @@
 import { setBounded } from "./bounded_map.ts";
 import { buildRequestTrait, listPartTraits } from "./call_traits.ts";
 import { createCrashEvidence } from "./crash_evidence.ts";
-import { createCrashNews, verdictReportIntervalMs } from "./crash_news.ts";
+import { createCrashNews } from "./crash_news.ts";
 import {
   type CrashReport,
   type CrashReports,
@@ -226,8 +226,8 @@
     if (calls.length > 0 || isNews) addCrash(endpoint, { calls, sign });
   }
 
-  /** Tells a peer again that calls have completed since a crash: its evidence may be that of a former run. */
-  function addSuccessNews(crash: CrashReport): void {
+  /** Tells a peer that refuses calls which of them have completed since a crash: its evidence may be that of a former run. */
+  function answerRefusal(crash: CrashReport): void {
     for (const trait of evidence.listCleared(crash)) news.addSuccess(trait);
   }
 
@@ -290,7 +290,7 @@
       crashes: evidence.listCrashes((trait) =>
         evidence.countCrashes(trait) > 0
       ),
-      successes: evidence.listSuccesses(evidence.listTraits()),
+      successes: evidence.listSuccesses(evidence.listCrashTraits()),
     }),
     applyReports({ crashes, successes }, delayMs): void {
       for (const { trait, ageMs } of successes) {
@@ -301,7 +301,7 @@
         const id = getProcessId(crash);
         if (isAlive(id, performance.now() - ageMs)) continue;
         evidence.addCrash({ ...crash, ageMs });
-        if (ageMs >= verdictReportIntervalMs) addSuccessNews(crash);
+        if (crash.refused) answerRefusal(crash);
         const process = watched.get(id);
         if (process) recordEnd(process.endpoint, EndSign.Peer);
       }
