--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -107,7 +107,7 @@
   let cutMs: number | undefined;
   /** Endpoints that could not be connected to, with the start of the first failed probe, since a connection succeeded. */
   const unreached = new Map<string, number>();
-  /** When the endpoints that peers asked for were last tried. */
+  /** When questions about endpoints were last answered, or left to other peers. */
   const answered = new Map<string, number>();
   let startedMs = performance.now();
 
