Read an idle connection once more before the daemon closes it

What callers saw: as with the entry, a call on a kept connection of the daemon was dropped without an answer where its process was paused. The listener of the daemon goes by Node's own idle time (5 s, closed after 6 s).

Change: the gateway closes idle connections as the entry does.

Open: the listener of an entry for its peers still closes by the timer.

--- a/packages/node/src/connection/gateway.ts
+++ b/packages/node/src/connection/gateway.ts
@@ -12,6 +12,7 @@
 import type { Settings } from "../settings/index.ts";
 import { type Environment, readSecret } from "../settings/index.ts";
 import { refuseNotRun } from "../request/refusals.ts";
+import { closeIdleConnections } from "./idle_connections.ts";
 import { answerRequestErrors } from "./request_errors.ts";
 import { sendRefusal } from "./responses.ts";
 
@@ -84,6 +85,7 @@
   server.headersTimeout = settings.read_timeout_ms;
   server.requestTimeout = settings.read_timeout_ms;
   answerRequestErrors(server);
+  closeIdleConnections(server);
   const responses = new Set<ServerResponse>();
   server.on("request", (_request, response) => {
     responses.add(response);
--- a/packages/node/src/connection/listeners.feature
+++ b/packages/node/src/connection/listeners.feature
@@ -34,6 +34,13 @@
     When a caller sends a call and bytes that are no request over one connection
     Then the caller has read the answer of the call and nothing else
 
+  # Guards against calls on kept connections that are closed unread after a pause of the process.
+  Scenario: A call that came on a kept connection while the process was stopped is answered
+    Given a certificate made for this test
+    And a gateway whose calls take 0 ms
+    When a caller sends a call, and a second one on its connection while the process is stopped for 7000 ms
+    Then the caller has read 2 answers
+
   # Guards against bytes of a faulty peer that are kept until the process ends.
   Scenario: A peer's answer that has no end is not kept
     Given a certificate made for this test
--- a/packages/node/src/connection/listeners.steps.ts
+++ b/packages/node/src/connection/listeners.steps.ts
@@ -36,6 +36,9 @@
 const blockBytes = 65_536;
 /** Bytes after which the peer closes its connection all the same. */
 const maxPeerBytes = 200 * bytesPerMb;
+const emptyCall = "POST /call HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+/** Time for a step in which the process is stopped. */
+const stopStepMs = 15_000;
 const key = "a key that all instances share";
 
 After(async function (this: ListenerWorld): Promise<void> {
@@ -183,7 +186,7 @@
     const socket = connect({ host, port: Number(port) });
     let text = "";
     socket.on("data", (chunk) => text += String(chunk));
-    socket.write("POST /call HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
+    socket.write(emptyCall);
     socket.write("? ? ?\r\n\r\n");
     await once(socket, "close");
     this.answer = text;
@@ -198,6 +201,36 @@
   assert.equal(text.split("HTTP/1.1").length, 2, text);
 });
 
+When(
+  "a caller sends a call, and a second one on its connection while the process is stopped for {int} ms",
+  { timeout: stopStepMs },
+  async function (this: ListenerWorld, ms: number): Promise<void> {
+    const [host = "", port = ""] = this.gateway?.address.split(":") ?? [];
+    const socket = connect({ host, port: Number(port) });
+    this.closers?.unshift(() => void socket.destroy());
+    let text = "";
+    socket.on("data", (chunk) => text += String(chunk));
+    socket.on("error", () => undefined);
+    const isAnswered = (count: number): boolean =>
+      text.split("done").length > count;
+    socket.write(emptyCall);
+    await waitUntil("first answer", () => isAnswered(1));
+    // Timers are due before connections are read again.
+    await new Promise((resolve) => void setImmediate(resolve));
+    socket.write(emptyCall);
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+    await waitUntil("answered or closed", () => isAnswered(2) || socket.closed);
+    this.answer = text;
+  },
+);
+
+Then("the caller has read {int} answers", function (
+  this: ListenerWorld,
+  count: number,
+): void {
+  assert.equal(String(this.answer).split("done").length - 1, count);
+});
+
 When(
   "an instance sends a digest to a peer whose answer has no end",
   async function (this: ListenerWorld): Promise<void> {
