Read idle connections of all listeners of an entry once more before closing them

What callers saw: a call that an instance handed to a peer on a kept connection while the peer was paused had no answer, so its end was unknown (502).

Cause: as for callers, the idle timer of Node's server is due before connections are read. The listeners for instances, readiness and metrics were left out.

Change: what binds a listener of the entry also closes its idle connections.

Evidence: hand_over.feature, 'What an instance asks on a kept connection ...', failed before (one answer of two) and passes. front_server.feature and peer_link.feature: 30 of 30. Readiness and metrics were not tried by themselves; the daemon's listener for instances is left as it was.

--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -128,7 +128,6 @@
   }
 
   answerRequestErrors(server);
-  closeIdleConnections(server);
   applyTimeouts(server, limits);
   server.on("connection", (socket) => {
     idleSockets.add(socket);
@@ -164,8 +163,9 @@
   server.headersTimeout = limits.headerTimeoutMs;
 }
 
-/** Listens at `host:port`; rejects if the address cannot be bound. */
+/** Listens at `host:port`, and closes idle connections once they are read; rejects if the address cannot be bound. */
 export function listen(server: Server, address: string): Promise<void> {
+  closeIdleConnections(server);
   const [host = "", port = ""] = address.split(":");
   return new Promise((resolve, reject) => {
     server.once("error", reject);
