Keep answers of endpoints apart from connections that were only opened

What callers would have seen: calls refused for crash evidence that was none, and one instance that handed its calls over for longer than needed.

Cause: a peer that tried an endpoint for another one replaced what shows that its process lives, an answer on an older connection, with a new connection. So the end of a process that ran was confirmed. And an instance that had tried all endpoints tried the three that its peers reached last, and no other.

Change: contacts keep the newest answer apart from the newest connection, here and of peers. One endpoint of each round is drawn from those that peers did not reach last, rather one that was not out of reach. Peers that are cut off do not count as those that may answer.

--- a/packages/core/src/process/links/contacts.ts
+++ b/packages/core/src/process/links/contacts.ts
@@ -27,6 +27,8 @@
 
 const maxAddresses = 512;
 const maxReported = 8;
+/** Age of a connection up to which a contact shows that it was opened, and no more, in ms. */
+const openedMs = 1;
 /** Age above which contacts are not reported, in ms: two heartbeats of instances. */
 const reportedAgeMs = 2_000;
 
@@ -34,22 +36,19 @@
 export function createContacts(): Contacts {
   /** Least recent first. */
   const contacts = new Map<string, Contact>();
+  /** Those on connections that were open before, which connections opened since do not replace. */
+  const answers = new Map<string, Contact>();
   let newestMs = -Infinity;
   return {
     record(address, contact): void {
-      const { atMs } = contact;
+      const { atMs, connectedMs } = contact;
       newestMs = Math.max(newestMs, atMs);
-      if (atMs <= (contacts.get(address)?.atMs ?? -Infinity)) return;
-      contacts.delete(address);
-      contacts.set(address, contact);
-      const [oldest] = contacts.keys();
-      if (contacts.size > maxAddresses && oldest !== undefined) {
-        contacts.delete(oldest);
-      }
+      if (atMs - connectedMs > openedMs) addNewest(answers, [address, contact]);
+      addNewest(contacts, [address, contact]);
     },
     getMs: (address) => contacts.get(address)?.atMs ?? -Infinity,
     isAlive(address, sinceMs): boolean {
-      const contact = contacts.get(address);
+      const contact = answers.get(address);
       return contact !== undefined && contact.atMs > sinceMs &&
         contact.connectedMs < sinceMs;
     },
@@ -68,3 +67,16 @@
     },
   };
 }
+
+function addNewest(
+  contacts: Map<string, Contact>,
+  [address, contact]: readonly [string, Contact],
+): void {
+  if (contact.atMs <= (contacts.get(address)?.atMs ?? -Infinity)) return;
+  contacts.delete(address);
+  contacts.set(address, contact);
+  const [oldest] = contacts.keys();
+  if (contacts.size > maxAddresses && oldest !== undefined) {
+    contacts.delete(oldest);
+  }
+}
--- a/packages/core/src/process/links/endpoint_links.ts
+++ b/packages/core/src/process/links/endpoint_links.ts
@@ -50,7 +50,7 @@
   readonly onChange?: (cut: boolean) => void;
   /** Called when there is something to ask peers, or to answer them. */
   readonly onNews?: () => void;
-  /** Number of the other instances that are live; 1 by default. */
+  /** Number of peers that may answer questions; 1 by default. */
   readonly countPeers?: () => number;
   /** Clock of the time in which this instance could receive contacts; the monotonic clock by default. */
   readonly clock?: RunningClock;
@@ -123,7 +123,7 @@
     recordContact(address, openedMs);
   }
 
-  /** Addresses to probe: those that peers reached last, then others at random; one that was not out of reach is among them. */
+  /** Addresses to probe: those that peers reached last, and another one at random, rather one that was not out of reach. */
   function chooseAddresses(): readonly string[] {
     const ordered = listAddresses()
       .map((address) => ({
@@ -137,13 +137,13 @@
           : right.rank - left.rank
       );
     if (unreached.size === 0) return ordered.slice(0, 1).map(getAddress);
-    const untried = ordered.filter(({ address }) => !unreached.has(address));
-    const [other] = untried.toSorted((left, right) => right.draw - left.draw);
-    if (!other) return ordered.slice(0, probesPerRound).map(getAddress);
-    return [
-      ...ordered.filter((each) => each !== other).slice(0, probesPerRound - 1),
-      other,
-    ].map(getAddress);
+    const first = ordered.slice(0, probesPerRound - 1);
+    const others = ordered.slice(probesPerRound - 1)
+      .toSorted((left, right) => right.draw - left.draw);
+    const isUntried = ({ address }: { readonly address: string }): boolean =>
+      !unreached.has(address);
+    const other = others.find(isUntried) ?? others[0];
+    return [...first, ...(other ? [other] : [])].map(getAddress);
   }
 
   async function runProbes(): Promise<void> {
@@ -173,6 +173,10 @@
     const lastMs = answered.get(address) ?? -Infinity;
     if (!known.has(address) || nowMs - lastMs < answerIntervalMs) return;
     answered.set(address, nowMs);
+    // A new connection would replace an answer, which shows more.
+    if (nowMs - own.getMs(address) < answerIntervalMs) {
+      return options.onNews?.();
+    }
     const peerCount = options.countPeers?.() ?? 1;
     if (random() * peerCount >= answersPerQuestion) return;
     const success = await probe(address, probeTimeoutMs);
--- a/packages/core/src/process/links/links.feature
+++ b/packages/core/src/process/links/links.feature
@@ -83,6 +83,25 @@
       | 7     | e1, e9 | e1     |
       | 8     | e1, e2 |        |
 
+  # Guards against crash evidence as a new connection hides that an older one is answered.
+  Scenario: A question leaves the answer of an older connection as it is
+    When a connection of 5000 ms to "e1" is answered, and a peer asks for "e1"
+    Then the instance has tried "", and its digest tells of "e1" on a connection of 5000 ms
+
+  Scenario: A new connection of one peer does not hide the answer that another one has
+    Given peers reach "e1, e2, e3, e4, e5"
+    When connections to "e1" are refused, and requests come for 700 ms
+    Then the end of "e1" is not confirmed 700 ms later, as another peer opens connections to it all the time
+
+  # Guards against a cut that lasts as only what peers reached last is tried.
+  Scenario: An instance for which one endpoint comes back that peers do not use reaches it
+    Given draws of seed 1
+    And peers reach "e1, e2, e3, e4"
+    When connections to "e1, e2, e3, e4, e5" are refused, and requests do not come for 6000 ms
+    Then the instance is cut off
+    When connections to "e5" are opened again for 4000 ms
+    Then the instance has come back to an endpoint
+
   Scenario: An instance that reaches no endpoint itself answers no questions
     When connections to "e1, e2, e3, e4, e5" are refused, and requests come for 500 ms
     Then nothing is tried for a peer that asks for "e4"
--- a/packages/core/src/process/links/links.steps.ts
+++ b/packages/core/src/process/links/links.steps.ts
@@ -15,6 +15,8 @@
   peersTry: readonly string[];
   triedMs: Map<string, number>;
   peerCount: number;
+  /** Endpoint to which a peer opens connections all the time. */
+  opens?: string;
   /** When cuts began and ended, in turn. */
   changes: number[];
   draws: () => number;
@@ -169,6 +171,9 @@
         Object.fromEntries([...reports, ...collectAnswers(world)]),
         performance.now(),
       );
+      if (world.opens !== undefined) {
+        world.links.applyReports({ [world.opens]: [0, 0] }, performance.now());
+      }
     }
     if (passedMs % requestEveryMs === 0) {
       sendRequest(world, { passedMs, requests });
@@ -240,7 +245,7 @@
 });
 
 Then(
-  /^the end of "(.+)" is (not )?confirmed (\d+) ms later(, as peers reach a new process)?$/,
+  /^the end of "([^"]+)" is (not )?confirmed (\d+) ms later(, as peers reach a new process|, as another peer opens connections to it all the time)?$/,
   async function (
     this: LinksWorld,
     name: string,
@@ -249,7 +254,8 @@
     why: string | null,
   ): Promise<void> {
     let confirmed: boolean | undefined;
-    if (why !== null) this.connectedMs = Infinity;
+    if (why?.includes("a new process")) this.connectedMs = Infinity;
+    this.opens = why?.includes("opens connections") ? name : undefined;
     void this.links.confirmEnd(name).then((result) => confirmed = result);
     await passTime(this, Number(ms), { requests: "come" });
     assert.equal(confirmed, not === null);
@@ -285,6 +291,41 @@
   await this.linksClock?.tickAsync(answerMs);
 });
 
+When(
+  "a connection of {int} ms to {string} is answered, and a peer asks for {string}",
+  async function (
+    this: LinksWorld,
+    ageMs: number,
+    name: string,
+    asked: string,
+  ): Promise<void> {
+    await this.linksClock?.tickAsync(checkMs);
+    this.probed = [];
+    this.links.recordContact(name, performance.now() - ageMs);
+    this.links.answerQuestions(splitNames(asked));
+    await this.linksClock?.tickAsync(0);
+  },
+);
+
+Then(
+  "the instance has tried {string}, and its digest tells of {string} on a connection of {int} ms",
+  function (
+    this: LinksWorld,
+    tried: string,
+    name: string,
+    ageMs: number,
+  ): void {
+    assert.deepEqual(this.probed, splitNames(tried));
+    assert.deepEqual(this.links.collectReports(), { [name]: [0, ageMs] });
+  },
+);
+
+Then("the instance has come back to an endpoint", function (
+  this: LinksWorld,
+): void {
+  assert.equal(this.changes.length, 2);
+});
+
 When("a peer asks for {string} {int} ms later", async function (
   this: LinksWorld,
   names: string,
--- a/packages/node/src/entry/front_server.ts
+++ b/packages/node/src/entry/front_server.ts
@@ -163,7 +163,7 @@
   server.headersTimeout = limits.headerTimeoutMs;
 }
 
-/** Listens at `host:port`, and closes idle connections once they are read; rejects if the address cannot be bound. */
+/** Listens at `host:port`, and reads idle connections once more before it closes them; rejects if the address cannot be bound. */
 export function listen(server: Server, address: string): Promise<void> {
   closeIdleConnections(server);
   const [host = "", port = ""] = address.split(":");
--- a/packages/node/src/entry/start_entry.ts
+++ b/packages/node/src/entry/start_entry.ts
@@ -182,7 +182,7 @@
       if (!cut) fleet.endpointTracker.clearFailures();
     },
     onNews: () => state.peerLink?.scheduleDigest(),
-    countPeers: () => fleet.peers.countInstances() - 1,
+    countPeers: () => fleet.peers.listLive().filter(({ cut }) => !cut).length,
     clock,
     logEvent,
     signal: shutdown.signal,
